--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Targets for people and for CI; README.md explains them.
+MODULES := core cactusctl cactusd cactuskeeper standin
+PROGRAMS := cactusctl cactusd cactuskeeper standin
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+LDFLAGS := -X cactusstream.example/core/process.Version=$(VERSION)
+TOOLS := $(CURDIR)/.tools
+
+GOFUMPT_VERSION := v0.9.2
+GOLANGCI_VERSION := v2.12.2
+GOA_VERSION := v3.25.3
+
+.PHONY: build demo test lint generate tools measure slopes
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -ldflags '$(LDFLAGS)' -o bin/$$p ./$$p || exit 1; done
+
+demo: build
+	@scripts/demo.sh
+
+test: build
+	@scripts/test.sh
+
+lint: tools
+	@out=$$(git ls-files '*.go' | grep -v '/gen/' | xargs $(TOOLS)/gofumpt -l); \
+	if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+
+generate: tools build
+	cd core && $(TOOLS)/goa gen cactusstream.example/core/design -o .
+	bin/cactusctl settings keys > docs/settings.md
+
+tools: $(TOOLS)/gofumpt-$(GOFUMPT_VERSION) $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION) $(TOOLS)/goa-$(GOA_VERSION)
+
+$(TOOLS)/gofumpt-$(GOFUMPT_VERSION):
+	@mkdir -p $(TOOLS) && GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION) && touch $@
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION):
+	@mkdir -p $(TOOLS) && GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION) && touch $@
+
+$(TOOLS)/goa-$(GOA_VERSION):
+	@mkdir -p $(TOOLS) && GOBIN=$(TOOLS) go install goa.design/goa/v3/cmd/goa@$(GOA_VERSION) && touch $@
+
+measure: build
+	@scripts/measure.sh
+
+slopes:
+	@scripts/slopes.sh
--- /dev/null
+++ b/cactusctl/internal/cmd/settings_explain.go
@@ -0,0 +1,34 @@
+package cmd
+
+import (
+	"strconv"
+
+	"github.com/spf13/cobra"
+)
+
+func newSettingsExplainCmd(ap *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain PATH",
+		Short:   "Say where each effective value of a node comes from",
+		Long:    "Explain says for each effective value which level set it, in which change, when, by whom and why.",
+		Example: "  cactusctl settings explain quillota/cl-centro/corte/cutOrder",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(com *cobra.Command, args []string) error {
+			cli, err := ap.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := ap.context()
+			defer cancel()
+			list, err := cli.Explain(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, item := range list {
+				rows = append(rows, []string{item.Key, item.Value, item.Level, strconv.FormatUint(item.Version, 10), item.Time, item.Author, item.Reason})
+			}
+			return ap.print(com.OutOrStdout(), list, []string{"key", "value", "level", "version", "when", "who", "why"}, rows)
+		},
+	}
+}
--- /dev/null
+++ b/cactusctl/internal/cmd/settings_keys.go
@@ -0,0 +1,51 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"cactusstream.example/core/settings"
+)
+
+func newSettingsKeysCmd() *cobra.Command {
+	return &cobra.Command{
+		Use:     "keys",
+		Short:   "Print the table of all keys as Markdown",
+		Long:    "Keys prints docs/settings.md, the table of all keys: unit, range, default, levels and meaning.",
+		Example: "  cactusctl settings keys > docs/settings.md",
+		Args:    cobra.NoArgs,
+		RunE: func(com *cobra.Command, _ []string) error {
+			WriteKeys(com.OutOrStdout())
+			return nil
+		},
+	}
+}
+
+// WriteKeys writes the page of all keys.
+func WriteKeys(out io.Writer) {
+	fmt.Fprint(out, "# Settings\n\nWritten by `cactusctl settings keys`; `make generate` renews it. "+
+		"A key that a node does not set is inherited; see docs/operators.md.\n\n"+
+		"| key | unit | range | default | levels | meaning |\n|---|---|---|---|---|---|\n")
+	for _, key := range settings.Keys() {
+		fmt.Fprintf(out, "| %s | %s | %s | %s | %s | %s |\n", key.Name, key.Unit, key.Range, defaultText(key), levelsText(key), key.Text)
+	}
+}
+
+func defaultText(key settings.Key) string {
+	if key.Default == "" {
+		return "(none)"
+	}
+	return key.Default
+}
+
+func levelsText(key settings.Key) string {
+	switch {
+	case key.Lowest == settings.LevelRoot:
+		return "root"
+	case key.Highest == settings.LevelKind:
+		return "kind"
+	}
+	return fmt.Sprintf("root, %s to %s", key.Highest, key.Lowest)
+}
--- /dev/null
+++ b/cactusd/internal/cmd/check.go
@@ -0,0 +1,33 @@
+package cmd
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"cactusstream.example/core/events"
+)
+
+func newCheckCmd() *cobra.Command {
+	var path string
+	com := &cobra.Command{
+		Use:     "check --config FILE",
+		Short:   "Check a configuration file and start nothing",
+		Long:    "Check names every fault at once: file, section, key, the bad value and what is allowed.",
+		Example: "  cactusd check --config d1.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(com *cobra.Command, _ []string) error {
+			cfg, err := loadConfig(path)
+			if err != nil {
+				return err
+			}
+			if _, err := optionsOf(cfg, events.Discard()); err != nil {
+				return err
+			}
+			fmt.Fprintf(com.OutOrStdout(), "%s: good\n", path)
+			return nil
+		},
+	}
+	addConfigFlag(com, &path)
+	return com
+}
--- /dev/null
+++ b/cactusd/internal/cmd/run.go
@@ -0,0 +1,94 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"cactusstream.example/cactusd/internal/daemon"
+	"cactusstream.example/core/auth"
+	"cactusstream.example/core/clock"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/process"
+)
+
+func newRunCmd() *cobra.Command {
+	var path string
+	com := &cobra.Command{
+		Use:     "run --config FILE",
+		Short:   "Run the daemon until it is told to stop",
+		Long:    "Run serves until SIGTERM or SIGINT, then sends new work elsewhere, finishes what is in flight and exits.",
+		Example: "  cactusd run --config d1.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(com *cobra.Command, _ []string) error {
+			cfg, err := loadConfig(path)
+			if err != nil {
+				return err
+			}
+			return run(com.Context(), cfg)
+		},
+	}
+	addConfigFlag(com, &path)
+	return com
+}
+
+func run(ctx context.Context, cfg *config) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	log, err := cfg.Logger(os.Stderr)
+	if err != nil {
+		return err
+	}
+	log = log.With(logrus.Fields{"program": "cactusd", "id": cfg.ID})
+	opts, err := optionsOf(cfg, log)
+	if err != nil {
+		return err
+	}
+	da, err := daemon.New(opts)
+	if err != nil {
+		return err
+	}
+	if err := da.Start(ctx); err != nil {
+		return err
+	}
+	process.WaitForStop(ctx, func() { log.Write(events.ProcessCut, nil) })
+	stopCtx, cancel := context.WithTimeout(context.Background(), cfg.StopBound)
+	defer cancel()
+	if err := da.Stop(stopCtx); err != nil {
+		log.Write(events.ProcessCut, logrus.Fields{"error": err.Error()})
+		return &process.ExitError{Code: process.ExitCut, Err: err}
+	}
+	log.Write(events.ProcessStopped, nil)
+	return nil
+}
+
+// optionsOf reads the files that the configuration names.
+func optionsOf(cfg *config, log *events.Logger) (daemon.Options, error) {
+	opts := daemon.Options{
+		Config: cfg.Config, CallerAddress: cfg.CallerAddress, Claims: cfg.Claims, Clock: clock.Real{}, Firm: cfg.Firm,
+		Keepers: cfg.Keepers, Log: log, Place: cfg.Place, Seeds: cfg.Seeds,
+	}
+	var err error
+	if opts.FleetTokens, opts.OperatorTokens, err = cfg.OpenTokens(); err != nil {
+		return opts, err
+	}
+	if opts.ServiceTokens, err = auth.OpenTokens(cfg.ServiceTokens); err != nil {
+		return opts, fmt.Errorf("service tokens: %w", err)
+	}
+	if opts.UpstreamTokens, err = auth.OpenTokens(cfg.UpstreamTokens); err != nil {
+		return opts, fmt.Errorf("upstream tokens: %w", err)
+	}
+	keys, err := auth.OpenPublicKeys(cfg.SettingsKeys)
+	if err != nil {
+		return opts, fmt.Errorf("settings keys: %w", err)
+	}
+	opts.SettingsKeys = keys.Keys
+	if opts.TLS, err = cfg.TLS(); err != nil {
+		return opts, err
+	}
+	return opts, nil
+}
--- /dev/null
+++ b/cactusd/internal/daemon/daemon.go
@@ -0,0 +1,250 @@
+// Package daemon puts the parts of one cactusd together: gate, ingress, fleet,
+// claims and follower.
+//
+// Usage:
+//
+//	da, err := daemon.New(options)
+//	err = da.Start(ctx)
+//	err = da.Stop(ctx)   // graceful; an error says what was cut
+package daemon
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	announceserver "cactusstream.example/core/gen/http/announce/server"
+	fleetserver "cactusstream.example/core/gen/http/fleet/server"
+
+	genannounce "cactusstream.example/core/gen/announce"
+	genfleet "cactusstream.example/core/gen/fleet"
+	genprocess "cactusstream.example/core/gen/process"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"cactusstream.example/cactusd/internal/claims"
+	"cactusstream.example/cactusd/internal/fleet"
+	"cactusstream.example/cactusd/internal/follower"
+	"cactusstream.example/cactusd/internal/gate"
+	"cactusstream.example/cactusd/internal/ingress"
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/auth"
+	"cactusstream.example/core/claim"
+	"cactusstream.example/core/clock"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/link"
+	"cactusstream.example/core/member"
+	"cactusstream.example/core/metrics"
+	"cactusstream.example/core/process"
+	"cactusstream.example/core/spread"
+)
+
+const (
+	// drainTime is how long callers with open connections have to move on.
+	drainTime  = 500 * time.Millisecond
+	gateTick   = 100 * time.Millisecond
+	forgetTick = 30 * time.Second
+)
+
+// Options are what a Daemon is made of.
+type Options struct {
+	Config         process.Config
+	CallerAddress  string
+	Claims         claim.Options
+	Clock          clock.Clock
+	Firm           string
+	Keepers        []string
+	Log            *events.Logger
+	Place          string
+	Seeds          []string
+	FleetTokens    *auth.Tokens
+	OperatorTokens *auth.Tokens
+	ServiceTokens  *auth.Tokens
+	UpstreamTokens *auth.Tokens
+	SettingsKeys   func() []ed25519.PublicKey
+	TLS            *auth.TLS
+}
+
+// Daemon is one cactusd.
+type Daemon struct {
+	opts     Options
+	started  time.Time
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+
+	metrics  *metrics.Registry
+	holder   *spread.Holder
+	pool     *link.Pool
+	links    *link.Server
+	fleet    *fleet.Fleet
+	gate     *gate.Gate
+	claims   *claims.Claims
+	ingress  *ingress.Ingress
+	follower *follower.Follower
+
+	callers   *process.Server
+	peers     *process.Server
+	operators *process.Server
+}
+
+// New puts a Daemon together; it does not serve yet.
+func New(opts Options) (*Daemon, error) {
+	da := &Daemon{opts: opts, started: opts.Clock.Now(), metrics: metrics.NewRegistry()}
+	mux := link.NewMux()
+	da.holder = spread.NewHolder(opts.SettingsKeys)
+	da.pool = link.NewPool(opts.Config.ID, opts.FleetTokens, mux, link.WithTLS(opts.TLS.Client()))
+	da.links = link.NewServer(mux, opts.FleetTokens, da.refused)
+	var err error
+	da.fleet, err = fleet.New(fleet.Options{
+		Clock: opts.Clock, Holder: da.holder, Log: opts.Log, Metrics: da.metrics, Mux: mux, Pool: da.pool,
+		Self: member.Record{
+			ID: opts.Config.ID, Zone: opts.Config.Zone, PeerAddress: opts.Config.PeerAddress,
+			OperatorAddress: opts.Config.OperatorAddress, Version: member.Version{Incarnation: uint64(da.started.UnixNano())},
+		},
+		Seeds: opts.Seeds, Tokens: opts.FleetTokens, Firm: opts.Firm, Place: opts.Place, SyncSeed: uint64(da.started.UnixNano()),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("daemon: %w", err)
+	}
+	da.gate = gate.New(gate.Options{Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, Changed: da.announce})
+	da.claims = claims.New(claims.Options{
+		Clock: opts.Clock, Holder: da.holder, Log: opts.Log, Mux: mux, Pool: da.pool, Self: opts.Config.ID,
+		Limits: opts.Claims, Address: da.addressOf,
+	})
+	da.ingress = ingress.New(ingress.Options{
+		Claims: da.claims, Clock: opts.Clock, Firm: opts.Firm, Holder: da.holder, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
+		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
+		Services: opts.ServiceTokens, View: da.fleet.View, Zone: opts.Config.Zone,
+	})
+	da.follower = follower.New(follower.Options{Holder: da.holder, Keepers: opts.Keepers, Seeds: opts.Seeds, Log: opts.Log, Pool: da.pool, Ahead: da.fleet.Ahead})
+	spread.Serve(mux, da.holder)
+	link.Handle(mux, wire.MethodRun, func(ctx context.Context, _ string, req wire.RunRequest) (wire.RunAnswer, error) {
+		return da.gate.Run(ctx, req), nil
+	})
+	da.callers = process.NewServer(opts.CallerAddress, da.ingress, nil)
+	da.peers = process.NewServer(opts.Config.PeerAddress, da.links, opts.TLS.Server(true))
+	da.operators = process.NewServer(opts.Config.OperatorAddress, da.operatorsHandler(), opts.TLS.Server(false))
+	return da, nil
+}
+
+// Start listens and serves. Callers are served once settings are in force or
+// could not be had.
+func (da *Daemon) Start(ctx context.Context) error {
+	ctx, da.cancel = context.WithCancel(ctx)
+	for _, srv := range []*process.Server{da.peers, da.operators} {
+		if err := srv.Start(); err != nil {
+			return fmt.Errorf("daemon: %w", err)
+		}
+	}
+	da.follower.Start(ctx)
+	go da.fleet.Run(ctx)
+	go da.follower.Run(ctx)
+	go da.claims.Run(ctx)
+	go da.tick(ctx)
+	if err := da.callers.Start(); err != nil {
+		return fmt.Errorf("daemon: %w", err)
+	}
+	da.opts.Log.Write(events.ProcessStarted, logrus.Fields{"callers": da.opts.CallerAddress, "operators": da.opts.Config.OperatorAddress, "peers": da.opts.Config.PeerAddress, "settings": da.holder.Current().Version})
+	return nil
+}
+
+// Stop leaves the fleet without cutting a request: the upstreams beside this
+// daemon take no new work, callers are sent elsewhere, what is in flight ends.
+func (da *Daemon) Stop(ctx context.Context) error {
+	da.stopping.Store(true)
+	da.opts.Log.Write(events.ProcessStopping, nil)
+	da.ingress.Drain()
+	gateDone := make(chan error, 1)
+	go func() { gateDone <- da.gate.Stop(ctx) }()
+	select {
+	case <-time.After(drainTime):
+	case <-ctx.Done():
+	}
+	err := errors.Join(da.callers.Shutdown(ctx), <-gateDone)
+	da.claims.Wait()
+	da.fleet.Leave()
+	err = errors.Join(err, da.operators.Shutdown(ctx))
+	da.cancel()
+	da.links.Close()
+	da.pool.Close()
+	da.peers.Close()
+	da.fleet.Close()
+	return err
+}
+
+func (da *Daemon) addressOf(id string) string {
+	return da.fleet.View().Members[id].PeerAddress
+}
+
+func (da *Daemon) announce() {
+	da.fleet.SetUpstreams(da.gate.Records())
+}
+
+func (da *Daemon) refused(req *http.Request) {
+	da.opts.Log.Write(events.CredentialsRefused, logrus.Fields{"from": req.RemoteAddr, "path": req.URL.Path})
+	da.metrics.Counter("credentials.refused").Inc(1)
+}
+
+func (da *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	forgotten := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if da.gate.Tick() {
+			da.announce()
+		}
+		if time.Since(forgotten) > forgetTick {
+			forgotten = time.Now()
+			da.ingress.Forget()
+		}
+	}
+}
+
+func (da *Daemon) operatorsHandler() http.Handler {
+	ops := process.NewOperators(da.opts.OperatorTokens, da.status, da.dump, da.metrics)
+	process.Mount(ops.Mux(), fleetserver.New, fleetserver.Mount, genfleet.NewEndpoints(fleet.NewService(da.fleet)))
+	upstreams := goahttp.NewMuxer()
+	process.Mount(upstreams, announceserver.New, announceserver.Mount, genannounce.NewEndpoints(gate.NewAnnounceService(da.gate)))
+	mux := http.NewServeMux()
+	mux.Handle("/v1/upstreams", auth.Require(da.opts.UpstreamTokens, da.refused, process.LimitBody(upstreams)))
+	mux.Handle("/v1/upstreams/", auth.Require(da.opts.UpstreamTokens, da.refused, process.LimitBody(upstreams)))
+	mux.Handle("/", ops.Handler(da.refused))
+	return mux
+}
+
+func (da *Daemon) status() *genprocess.StatusResult {
+	current := da.holder.Current()
+	state := "serving"
+	if da.stopping.Load() {
+		state = "stopping"
+	}
+	return &genprocess.StatusResult{
+		Program: "cactusd", ID: da.opts.Config.ID, Zone: da.opts.Config.Zone, State: state, SettingsVersion: current.Version,
+		SettingsDigest: current.Digest, UptimeSeconds: int64(da.opts.Clock.Now().Sub(da.started).Seconds()),
+	}
+}
+
+func (da *Daemon) dump() map[string]any {
+	current := da.holder.Current()
+	records, _ := da.fleet.Members()
+	return map[string]any{
+		"settings":  map[string]any{"version": current.Version, "digest": current.Digest},
+		"members":   records,
+		"gate":      da.gate.Dump(),
+		"ingress":   da.ingress.Dump(),
+		"claims":    da.claims.Dump(),
+		"links":     da.pool.Statuses(),
+		"upstreams": da.fleet.View().Pools,
+	}
+}
--- /dev/null
+++ b/cactusd/internal/daemon/runner.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"context"
+
+	"cactusstream.example/cactusd/internal/fleet"
+	"cactusstream.example/cactusd/internal/gate"
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/link"
+)
+
+// runner runs attempts at the own gate, or over a link at another daemon's.
+type runner struct {
+	self string
+	gate *gate.Gate
+	pool *link.Pool
+}
+
+// Run runs one attempt at the daemon beside an endpoint.
+func (ru *runner) Run(ctx context.Context, end fleet.Endpoint, req wire.RunRequest) (wire.RunAnswer, error) {
+	if end.Daemon == ru.self {
+		return ru.gate.Run(ctx, req), nil
+	}
+	return link.Call[wire.RunRequest, wire.RunAnswer](ctx, ru.pool, end.PeerAddress, wire.MethodRun, req)
+}
--- /dev/null
+++ b/cactusd/internal/follower/follower.go
@@ -0,0 +1,145 @@
+// Package follower keeps a daemon's settings up to date: from a keeper that it
+// watches, and from other daemons when they are ahead.
+//
+// Usage:
+//
+//	fo := follower.New(options)
+//	fo.Start(ctx)   // asks every keeper and seed once, and takes the newest
+//	go fo.Run(ctx)
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/link"
+	"cactusstream.example/core/spread"
+)
+
+const (
+	firstAskTimeout = 2 * time.Second
+	minBackoff      = 200 * time.Millisecond
+	maxBackoff      = 5 * time.Second
+	peerEvery       = 500 * time.Millisecond
+	pullTimeout     = 5 * time.Second
+	watchTime       = 20 * time.Second
+	watchMargin     = 5 * time.Second
+)
+
+// Options are what a Follower is made of.
+type Options struct {
+	Holder  *spread.Holder
+	Keepers []string
+	Seeds   []string
+	Log     *events.Logger
+	Pool    *link.Pool
+	// Ahead returns the address of a daemon with newer settings, or "".
+	Ahead func(version uint64) string
+}
+
+// Follower keeps a Holder up to date.
+type Follower struct {
+	opts Options
+}
+
+// New returns a Follower.
+func New(opts Options) *Follower {
+	return &Follower{opts: opts}
+}
+
+// Start asks every keeper and seed at once and takes the newest settings that
+// any of them holds, so that a restart does not go back while a peer is ahead.
+func (fo *Follower) Start(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstAskTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, address := range append(append([]string(nil), fo.opts.Keepers...), fo.opts.Seeds...) {
+		group.Go(func() { _ = fo.pull(ctx, address, 0) })
+	}
+	group.Wait()
+}
+
+// Run watches a keeper and looks for daemons that are ahead, until the context ends.
+func (fo *Follower) Run(ctx context.Context) {
+	go fo.watchKeepers(ctx)
+	ticker := time.NewTicker(peerEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if address := fo.opts.Ahead(fo.opts.Holder.Current().Version); address != "" {
+			_ = fo.pull(ctx, address, 0)
+		}
+	}
+}
+
+// watchKeepers keeps one long request at a keeper chosen at random, so that
+// the daemons spread over the keepers and hear of a change at once.
+func (fo *Follower) watchKeepers(ctx context.Context) {
+	if len(fo.opts.Keepers) == 0 {
+		return
+	}
+	at := rand.IntN(len(fo.opts.Keepers))
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := fo.pull(ctx, fo.opts.Keepers[at], watchTime)
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		at = (at + 1) % len(fo.opts.Keepers)
+		select {
+		case <-time.After(backoff/2 + rand.N(backoff)):
+		case <-ctx.Done():
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// pull asks one process for what is newer, waiting for it at most a while.
+func (fo *Follower) pull(ctx context.Context, address string, wait time.Duration) error {
+	timeout := pullTimeout
+	if wait > 0 {
+		timeout = wait + watchMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	have := fo.opts.Holder.Current().Version
+	upd, err := fo.ask(ctx, address, have, wait)
+	if err != nil {
+		return err
+	}
+	if err = fo.apply(upd, address); !errors.Is(err, spread.ErrDrift) && !errors.Is(err, spread.ErrGap) {
+		return err
+	}
+	fo.opts.Log.Write(events.SettingsDrift, logrus.Fields{"version": upd.Version, "from": address})
+	if upd, err = fo.ask(ctx, address, 0, 0); err != nil {
+		return err
+	}
+	return fo.apply(upd, address)
+}
+
+func (fo *Follower) ask(ctx context.Context, address string, have uint64, wait time.Duration) (spread.Update, error) {
+	return link.Call[spread.Request, spread.Update](ctx, fo.opts.Pool, address, spread.MethodGet, spread.Request{Have: have, WaitMS: wait.Milliseconds()})
+}
+
+func (fo *Follower) apply(upd spread.Update, from string) error {
+	applied, err := fo.opts.Holder.Apply(upd)
+	if err != nil {
+		fo.opts.Log.Write(events.SettingsRefused, logrus.Fields{"version": upd.Version, "from": from, "error": err.Error()})
+		return err
+	}
+	if applied {
+		fo.opts.Log.Write(events.SettingsInForce, logrus.Fields{"version": upd.Version, "from": from})
+	}
+	return nil
+}
--- /dev/null
+++ b/cactusd/internal/gate/gate.go
@@ -0,0 +1,228 @@
+// Package gate guards the upstreams beside a daemon. Every request to an
+// upstream passes its gate, which counts slots exactly, queues by rank, judges
+// the upstream by its real work, and refuses with proof that nothing ran.
+//
+// Usage:
+//
+//	ga := gate.New(options)
+//	err := ga.Announce(gate.Announcement{...})
+//	answer := ga.Run(ctx, request)
+//	inFlight, err := ga.Leave("cutter1")
+//
+// Lock order: Gate.mu, then guard.mu.
+package gate
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/clock"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/health"
+	"cactusstream.example/core/member"
+	"cactusstream.example/core/metrics"
+	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/rankqueue"
+	"cactusstream.example/core/settings"
+)
+
+// Lease is how long an announcement holds.
+const Lease = 15 * time.Second
+
+// Announcement is what an upstream says of itself.
+type Announcement struct {
+	ID          string
+	Service     string
+	Address     string
+	Slots       int
+	Connections int
+	Cold        time.Duration
+}
+
+// Options are what a Gate is made of.
+type Options struct {
+	Clock   clock.Clock
+	Log     *events.Logger
+	Metrics *metrics.Registry
+	// Policy returns the settings of a service's pool.
+	Policy func(service string) *settings.Policy
+	// Changed is told when what stands beside the daemon has changed.
+	Changed func()
+}
+
+// Gate guards the upstreams of one VM. It is safe for concurrent use.
+type Gate struct {
+	opts Options
+
+	mu       sync.Mutex
+	stopping bool
+	guards   map[string]*guard
+}
+
+// The errors of announcements.
+var (
+	ErrOtherService = errors.New("gate: the upstream is announced with another service or address")
+	ErrStopping     = errors.New("gate: the daemon stops")
+	ErrUnknown      = errors.New("gate: no such upstream; announce it first")
+)
+
+// New returns a Gate without upstreams.
+func New(opts Options) *Gate {
+	return &Gate{opts: opts, guards: make(map[string]*guard)}
+}
+
+// Announce takes or renews an announcement.
+func (ga *Gate) Announce(ann Announcement) error {
+	isNew, err := ga.take(ann)
+	if err != nil || !isNew {
+		return err
+	}
+	ga.opts.Log.Write(events.UpstreamAnnounced, logrus.Fields{"upstream": ann.ID, "service": ann.Service, "address": ann.Address, "slots": ann.Slots})
+	ga.opts.Changed()
+	return nil
+}
+
+// Dump returns the state of every upstream.
+func (ga *Gate) Dump() []map[string]any {
+	var list []map[string]any
+	for _, gu := range ga.list() {
+		list = append(list, gu.dump())
+	}
+	return list
+}
+
+// Leave makes an upstream take no new work, and returns what it still runs.
+// Repeating it is harmless.
+func (ga *Gate) Leave(id string) (int, error) {
+	gu, ok := ga.find(id)
+	if !ok {
+		return 0, ErrUnknown
+	}
+	inFlight := gu.leave("announced that it leaves")
+	ga.opts.Changed()
+	return inFlight, nil
+}
+
+// Records returns what stands beside the daemon, in order of id.
+func (ga *Gate) Records() []member.Upstream {
+	var records []member.Upstream
+	for _, gu := range ga.list() {
+		if rec, there := gu.record(); there {
+			records = append(records, rec)
+		}
+	}
+	return records
+}
+
+// Report renews an announcement. The load that an upstream reports is kept for
+// the dump; decisions use what its gate counts itself.
+func (ga *Gate) Report(id string, busy int) error {
+	gu, ok := ga.find(id)
+	if !ok || gu.isGone() {
+		return ErrUnknown
+	}
+	gu.report(busy)
+	return nil
+}
+
+// Run runs one attempt, or refuses it with proof.
+func (ga *Gate) Run(ctx context.Context, req wire.RunRequest) wire.RunAnswer {
+	gu, ok := ga.find(req.Upstream)
+	if !ok {
+		return wire.NotRun(outcome.NoUpstream, "the upstream has left")
+	}
+	return gu.run(ctx, req)
+}
+
+// Stop refuses new work and returns when nothing is in flight, or the context ends.
+func (ga *Gate) Stop(ctx context.Context) error {
+	ga.mu.Lock()
+	ga.stopping = true
+	ga.mu.Unlock()
+	for _, gu := range ga.list() {
+		gu.leave("the daemon stops")
+	}
+	ga.opts.Changed()
+	for _, gu := range ga.list() {
+		if err := gu.waitIdle(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Tick ends leases and moves upstreams on whose time has come; it says whether
+// anything changed.
+func (ga *Gate) Tick() bool {
+	changed := false
+	for _, gu := range ga.list() {
+		if gu.tick() {
+			changed = true
+		}
+		if gu.isGone() && gu.isIdle() {
+			ga.forget(gu)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// take adds an announced upstream, or renews it; it says whether it is new.
+func (ga *Gate) take(ann Announcement) (bool, error) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.stopping {
+		return false, ErrStopping
+	}
+	gu := ga.guards[ann.ID]
+	if gu == nil || gu.isGone() {
+		ga.guards[ann.ID] = newGuard(ann, ga.opts)
+		return true, nil
+	}
+	if !gu.matches(ann) {
+		return false, ErrOtherService
+	}
+	gu.renew()
+	return false, nil
+}
+
+func (ga *Gate) find(id string) (*guard, bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	gu, ok := ga.guards[id]
+	return gu, ok
+}
+
+func (ga *Gate) forget(gu *guard) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.guards[gu.ann.ID] == gu {
+		delete(ga.guards, gu.ann.ID)
+	}
+}
+
+func (ga *Gate) list() []*guard {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	list := make([]*guard, 0, len(ga.guards))
+	for _, gu := range ga.guards {
+		list = append(list, gu)
+	}
+	slices.SortFunc(list, func(one, two *guard) int { return strings.Compare(one.ann.ID, two.ann.ID) })
+	return list
+}
+
+func healthPolicy(po *settings.Policy) health.Policy {
+	return health.Policy{Threshold: po.EjectThreshold, SlowFactor: po.SlowFactor, Base: po.EjectBase, Max: po.EjectMax, TrialSuccesses: po.TrialSuccesses}
+}
+
+func queuePolicy(po *settings.Policy) rankqueue.Policy {
+	return rankqueue.Policy{Limit: po.QueueLimit, Share: po.Share}
+}
--- /dev/null
+++ b/cactusd/internal/gate/guard.go
@@ -0,0 +1,347 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/health"
+	"cactusstream.example/core/member"
+	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/rankqueue"
+)
+
+const (
+	idlePoll = 5 * time.Millisecond
+	// gonePatience is how long a leaving upstream may still be announced as
+	// draining after its last work.
+	gonePatience = 2 * time.Second
+	maxKinds     = 256
+)
+
+// guard is one upstream with its slots, its queue and its judge.
+type guard struct {
+	ann    Announcement
+	opts   Options
+	client *upstreamClient
+
+	mu       sync.Mutex
+	queue    *rankqueue.Queue
+	judge    *health.Judge
+	kinds    map[string]*health.Latency
+	warmAt   time.Time
+	readyAt  time.Time
+	renewed  time.Time
+	reported int
+	leaving  bool
+	leftAt   time.Time
+	trying   bool
+	last     health.State
+}
+
+func newGuard(ann Announcement, opts Options) *guard {
+	policy := opts.Policy(ann.Service)
+	now := opts.Clock.Now()
+	return &guard{
+		ann:     ann,
+		opts:    opts,
+		client:  newUpstreamClient(ann),
+		queue:   rankqueue.New(ann.Slots, queuePolicy(policy)),
+		judge:   health.NewJudge(healthPolicy(policy)),
+		kinds:   make(map[string]*health.Latency),
+		warmAt:  now.Add(ann.Cold),
+		readyAt: now.Add(ann.Cold),
+		renewed: now,
+	}
+}
+
+func (gu *guard) matches(ann Announcement) bool {
+	return gu.ann.Service == ann.Service && gu.ann.Address == ann.Address && gu.ann.Slots == ann.Slots
+}
+
+func (gu *guard) renew() {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	gu.renewed = gu.opts.Clock.Now()
+}
+
+func (gu *guard) report(busy int) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	gu.renewed = gu.opts.Clock.Now()
+	gu.reported = busy
+}
+
+func (gu *guard) isGone() bool {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return gu.leaving
+}
+
+func (gu *guard) isIdle() bool {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return gu.queue.Running() == 0 && gu.opts.Clock.Now().Sub(gu.leftAt) > gonePatience
+}
+
+func (gu *guard) leave(why string) int {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	if !gu.leaving {
+		gu.leaving = true
+		gu.leftAt = gu.opts.Clock.Now()
+		gu.queue.RefuseAll(rankqueue.RefuseFull)
+		gu.opts.Log.Write(events.UpstreamLeft, logrus.Fields{"upstream": gu.ann.ID, "reason": why})
+	}
+	return gu.queue.Running()
+}
+
+// tick ends the lease and notes changes of the judge's state that come with time.
+func (gu *guard) tick() bool {
+	gu.mu.Lock()
+	now := gu.opts.Clock.Now()
+	expired := !gu.leaving && now.Sub(gu.renewed) > Lease
+	policy := gu.opts.Policy(gu.ann.Service)
+	gu.judge.SetPolicy(healthPolicy(policy))
+	gu.queue.SetPolicy(queuePolicy(policy))
+	warmed := !gu.warmAt.IsZero() && !now.Before(gu.warmAt)
+	if warmed {
+		gu.warmAt = time.Time{}
+	}
+	changed := gu.noteState(now)
+	gu.mu.Unlock()
+	if expired {
+		gu.leave("its announcement expired")
+	}
+	return expired || warmed || changed
+}
+
+// noteState logs a change of the judge's state; the caller holds the lock.
+func (gu *guard) noteState(now time.Time) bool {
+	state := gu.judge.State(now)
+	if state == gu.last {
+		return false
+	}
+	event := events.UpstreamRecovered
+	switch state {
+	case health.Sick:
+		event = events.UpstreamSick
+		gu.opts.Metrics.Counter("gate.sick").Inc(1)
+	case health.OnTrial:
+		event = events.UpstreamTrial
+	}
+	gu.opts.Log.Write(event, logrus.Fields{"upstream": gu.ann.ID, "service": gu.ann.Service, "reason": gu.judge.Reason()})
+	gu.last = state
+	return true
+}
+
+// record returns what is announced of the upstream, and whether it is there.
+func (gu *guard) record() (member.Upstream, bool) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	now := gu.opts.Clock.Now()
+	rec := member.Upstream{ID: gu.ann.ID, Service: gu.ann.Service, Address: gu.ann.Address, Slots: gu.ann.Slots, State: member.Ready}
+	switch state := gu.judge.State(now); {
+	case gu.leaving:
+		rec.State = member.Draining
+		rec.Reason = "leaving"
+		rec.SinceMS = gu.leftAt.UnixMilli()
+	case now.Before(gu.warmAt):
+		rec.State = member.Cold
+		rec.Reason = "cold start"
+		rec.SinceMS = gu.renewed.UnixMilli()
+	case state == health.Well:
+		rec.SinceMS = gu.readyAt.UnixMilli()
+		if since := gu.judge.Since(); since.After(gu.readyAt) {
+			rec.SinceMS = since.UnixMilli()
+		}
+	default:
+		rec.State = member.Sick
+		if state == health.OnTrial {
+			rec.State = member.Trial
+		}
+		rec.Severity = gu.judge.Severity()
+		rec.Reason = gu.judge.Reason()
+		rec.SinceMS = gu.judge.Since().UnixMilli()
+		rec.RetryMS = gu.judge.RetryAt().UnixMilli()
+	}
+	return rec, true
+}
+
+// run takes a slot, sends the request and judges the answer.
+func (gu *guard) run(ctx context.Context, req wire.RunRequest) wire.RunAnswer {
+	if refusal, refused := gu.admit(ctx, req); refused {
+		return gu.withLoad(req.Kind, refusal)
+	}
+	started := gu.opts.Clock.Now()
+	watch := gu.watchSlow(req)
+	answer, res := gu.client.send(ctx, req)
+	slow := watch.stop()
+	gu.finish(req, started, health.Result{Failed: res.failed, Slow: slow, Idempotent: req.Idempotent}, res)
+	return gu.withLoad(req.Kind, answer)
+}
+
+// admit waits for a slot. A refusal proves that nothing was sent.
+func (gu *guard) admit(ctx context.Context, req wire.RunRequest) (wire.RunAnswer, bool) {
+	decided := make(chan rankqueue.Decision, 1)
+	now := gu.opts.Clock.Now()
+	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Decided: func(dec rankqueue.Decision) { decided <- dec }}
+	gu.mu.Lock()
+	if refusal, refused := gu.refusal(now, req); refused {
+		gu.mu.Unlock()
+		return refusal, true
+	}
+	dec := gu.queue.Add(now, item)
+	gu.mu.Unlock()
+	if dec == rankqueue.Wait {
+		dec = gu.await(ctx, item, decided)
+	}
+	if dec == rankqueue.Run {
+		return wire.RunAnswer{}, false
+	}
+	gu.endTrial(req)
+	return gu.refusalOf(dec), true
+}
+
+// refusal says whether the upstream takes the request; the caller holds the lock.
+func (gu *guard) refusal(now time.Time, req wire.RunRequest) (wire.RunAnswer, bool) {
+	if gu.leaving {
+		return wire.NotRun(outcome.Stopping, "the upstream is leaving"), true
+	}
+	if now.Before(gu.warmAt) {
+		return wire.NotRun(outcome.NoUpstream, "the upstream is cold"), true
+	}
+	if !req.Trial {
+		return wire.RunAnswer{}, false
+	}
+	if gu.trying {
+		return wire.NotRun(outcome.NoUpstream, "the upstream is on trial with another request"), true
+	}
+	gu.trying = true
+	gu.judge.State(now)
+	gu.judge.ObserveTrialArrival(now)
+	return wire.RunAnswer{}, false
+}
+
+func (gu *guard) await(ctx context.Context, item *rankqueue.Item, decided <-chan rankqueue.Decision) rankqueue.Decision {
+	timer := time.NewTimer(item.Deadline.Sub(gu.opts.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case dec := <-decided:
+		return dec
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	gu.mu.Lock()
+	cancelled := gu.queue.Cancel(item)
+	gu.mu.Unlock()
+	if cancelled {
+		return rankqueue.RefuseDeadline
+	}
+	return <-decided
+}
+
+func (gu *guard) refusalOf(dec rankqueue.Decision) wire.RunAnswer {
+	gu.mu.Lock()
+	leaving := gu.leaving
+	gu.mu.Unlock()
+	if leaving {
+		return wire.NotRun(outcome.Stopping, "the upstream is leaving")
+	}
+	gu.opts.Metrics.Counter("gate.refused").Inc(1)
+	answer := wire.NotRun(outcome.Overloaded, "the queue of the upstream is full")
+	if dec == rankqueue.RefuseDeadline {
+		answer = wire.NotRun(outcome.Overloaded, "the deadline would pass in the queue")
+	}
+	answer.RetryAfter = time.Second
+	return answer
+}
+
+// finish gives the slot back and tells the judge.
+func (gu *guard) finish(req wire.RunRequest, started time.Time, res health.Result, sent sendResult) {
+	gu.mu.Lock()
+	now := gu.opts.Clock.Now()
+	took := now.Sub(started)
+	gu.queue.Done(now, took)
+	if !sent.shed && !sent.abandoned {
+		gu.judge.ObserveEnd(now, req.Baseline, res)
+		if !res.Failed {
+			gu.kind(req.Kind).Add(took)
+		}
+	}
+	if req.Trial {
+		gu.trying = false
+	}
+	changed := gu.noteState(now)
+	gu.mu.Unlock()
+	gu.opts.Metrics.Observe("gate.runMicros", took)
+	if changed {
+		gu.opts.Changed()
+	}
+}
+
+func (gu *guard) endTrial(req wire.RunRequest) {
+	if !req.Trial {
+		return
+	}
+	gu.mu.Lock()
+	gu.trying = false
+	gu.mu.Unlock()
+}
+
+// kind returns the latencies of a kind of work; the caller holds the lock.
+func (gu *guard) kind(name string) *health.Latency {
+	lat := gu.kinds[name]
+	if lat == nil {
+		if len(gu.kinds) >= maxKinds {
+			clear(gu.kinds)
+		}
+		lat = &health.Latency{}
+		gu.kinds[name] = lat
+	}
+	return lat
+}
+
+func (gu *guard) withLoad(kind string, answer wire.RunAnswer) wire.RunAnswer {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	waiting := 0
+	for _, count := range gu.queue.Waiting() {
+		waiting += count
+	}
+	answer.Load = wire.Load{Running: gu.queue.Running(), Waiting: waiting}
+	answer.Stats = wire.Stats{Median: gu.kind(kind).Median(), ErrorRate: gu.judge.ErrorRate()}
+	return answer
+}
+
+func (gu *guard) waitIdle(ctx context.Context) error {
+	for {
+		gu.mu.Lock()
+		running := gu.queue.Running()
+		gu.mu.Unlock()
+		if running == 0 {
+			return nil
+		}
+		select {
+		case <-time.After(idlePoll):
+		case <-ctx.Done():
+			return fmt.Errorf("gate: %d requests of %s were cut: %w", running, gu.ann.ID, ctx.Err())
+		}
+	}
+}
+
+func (gu *guard) dump() map[string]any {
+	rec, _ := gu.record()
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return map[string]any{
+		"id": gu.ann.ID, "service": gu.ann.Service, "address": gu.ann.Address, "slots": gu.ann.Slots,
+		"state": rec.State.String(), "reason": rec.Reason, "running": gu.queue.Running(),
+		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.judge.ErrorRate(), "reportedBusy": gu.reported,
+	}
+}
--- /dev/null
+++ b/cactusd/internal/ingress/attempt.go
@@ -0,0 +1,153 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/link"
+	"cactusstream.example/core/outcome"
+)
+
+const (
+	// answerMargin is what the gate leaves of the deadline for its answer's way back.
+	answerMargin = 5 * time.Millisecond
+	// patienceFactor is how many targets an idempotent attempt may last before
+	// another upstream is tried.
+	patienceFactor = 4
+)
+
+// tried is how one attempt ended.
+type tried struct {
+	answer wire.RunAnswer
+	// paid says that the budget already gave the next attempt.
+	paid bool
+}
+
+// runIdempotent tries upstreams until one answers well, within the attempts of
+// the kind and the budget of the service.
+func (in *Ingress) runIdempotent(ctx context.Context, jo *job) wire.RunAnswer {
+	if refusal, refused := in.throttled(jo); refused {
+		return refusal
+	}
+	in.budget(jo.path.Service).Deposit(jo.pool.RetryPercent)
+	seen := make(map[string]bool)
+	last := wire.NotRun(outcome.NoUpstream, "no upstream of the service can be reached")
+	mayHaveRun := false
+	for jo.attempts < jo.policy.RetryAttempts && ctx.Err() == nil {
+		cho, ok := in.choose(jo, seen)
+		if !ok {
+			break
+		}
+		seen[cho.end.Key] = true
+		try := in.try(ctx, jo, cho)
+		last = try.answer
+		mayHaveRun = mayHaveRun || last.Outcome != outcome.NotRun
+		if isGood(last) || !try.paid && !in.mayRepeat(jo, cho, last) {
+			break
+		}
+	}
+	if last.Outcome == outcome.NotRun && mayHaveRun {
+		last.Outcome = outcome.Unknown
+	}
+	in.throttle(jo).Note(in.opts.Clock.Now(), !isOverload(last))
+	return last
+}
+
+// mayRepeat says whether another upstream may be tried. Refusals that cost no
+// upstream anything need no budget.
+func (in *Ingress) mayRepeat(jo *job, cho choice, last wire.RunAnswer) bool {
+	if cho.trial {
+		return true
+	}
+	if last.Outcome == outcome.NotRun && !isOverload(last) {
+		return true
+	}
+	return in.budget(jo.path.Service).Withdraw()
+}
+
+// try sends one attempt. An idempotent one that lasts too long is given up for
+// another upstream when the budget allows it.
+func (in *Ingress) try(ctx context.Context, jo *job, cho choice) tried {
+	jo.attempts++
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan wire.RunAnswer, 1)
+	go func() { done <- in.send(ctx, jo, cho) }()
+	if !jo.policy.Idempotent || jo.attempts >= jo.policy.RetryAttempts {
+		return tried{answer: <-done}
+	}
+	patience := time.NewTimer(patienceFactor * jo.policy.Target)
+	defer patience.Stop()
+	select {
+	case answer := <-done:
+		return tried{answer: answer}
+	case <-patience.C:
+	}
+	if in.hasOther(jo, cho) && (cho.trial || in.budget(jo.path.Service).Withdraw()) {
+		return tried{answer: wire.Unknown(outcome.Deadline, "the upstream took too long"), paid: true}
+	}
+	return tried{answer: <-done}
+}
+
+func (in *Ingress) hasOther(jo *job, cho choice) bool {
+	_, ok := in.choose(jo, map[string]bool{cho.end.Key: true})
+	return ok
+}
+
+// send runs an attempt at the gate of an endpoint.
+func (in *Ingress) send(ctx context.Context, jo *job, cho choice) wire.RunAnswer {
+	now := in.opts.Clock.Now()
+	req := jo.run
+	req.Attempt = newAttempt()
+	req.Upstream = cho.end.Upstream.ID
+	req.Trial = cho.trial
+	req.Remaining = jo.deadline.Sub(now) - answerMargin
+	req.Baseline = in.tracker.baseline(now, in.siblings(jo.path.Service, cho.end.Key), req.Kind)
+	if req.Remaining <= 0 {
+		return wire.NotRun(outcome.Deadline, "the deadline has passed")
+	}
+	in.tracker.begin(cho.end.Key)
+	answer, err := in.opts.Runner.Run(ctx, cho.end, req)
+	now = in.opts.Clock.Now()
+	in.tracker.finish(now, cho.end.Key, req.Kind, answer, err == nil)
+	if err != nil {
+		answer = in.linkFailure(ctx, now, cho, err)
+	} else {
+		in.tracker.notePath(now, cho.end.Daemon, true)
+	}
+	if answer.Outcome == outcome.Ran {
+		answer.Header[outcome.HeaderUpstream] = []string{cho.end.Key}
+	}
+	return answer
+}
+
+// linkFailure tells what is known when the gate did not answer. It is the
+// path's fault, not the upstream's: nobody is ejected for it.
+func (in *Ingress) linkFailure(ctx context.Context, now time.Time, cho choice, err error) wire.RunAnswer {
+	var remote *link.RemoteError
+	if errors.As(err, &remote) && remote.Code == "overloaded" {
+		return wire.NotRun(outcome.Overloaded, remote.Error())
+	}
+	gaveUp := errors.Is(ctx.Err(), context.Canceled)
+	if !gaveUp {
+		in.tracker.notePath(now, cho.end.Daemon, false)
+	}
+	if errors.Is(err, link.ErrNotSent) {
+		return wire.NotRun(outcome.LinkLost, err.Error())
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return wire.Unknown(outcome.Deadline, err.Error())
+	}
+	return wire.Unknown(outcome.LinkLost, err.Error())
+}
+
+func isGood(answer wire.RunAnswer) bool {
+	return answer.Outcome == outcome.Ran && answer.Status < http.StatusInternalServerError
+}
+
+func isOverload(answer wire.RunAnswer) bool {
+	return answer.Outcome == outcome.NotRun && (answer.Reason == outcome.Overloaded || answer.Reason == outcome.Shed)
+}
--- /dev/null
+++ b/cactusd/internal/ingress/ingress.go
@@ -0,0 +1,299 @@
+// Package ingress takes callers' requests, chooses upstreams for them, and
+// answers each caller with the whole answer to its own request or with an
+// error that says what is known about the run.
+//
+// Usage:
+//
+//	in := ingress.New(options)
+//	http.Handle("/", in)
+//	in.Drain()   // callers are told to use another daemon from now on
+//
+// docs/callers.md is the contract with callers.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"cactusstream.example/cactusd/internal/fleet"
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/auth"
+	"cactusstream.example/core/budget"
+	"cactusstream.example/core/claim"
+	"cactusstream.example/core/clock"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/metrics"
+	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/settings"
+	"cactusstream.example/core/spread"
+	"cactusstream.example/core/throttle"
+)
+
+// Runner runs one attempt at the daemon beside an endpoint.
+type Runner interface {
+	Run(ctx context.Context, end fleet.Endpoint, req wire.RunRequest) (wire.RunAnswer, error)
+}
+
+// Claims claims keys of non-idempotent requests.
+type Claims interface {
+	Acquire(ctx context.Context, key, attempt string) claim.Grant
+	Record(grant claim.Grant, rec *claim.Record)
+	Release(grant claim.Grant) bool
+}
+
+// Options are what an Ingress is made of.
+type Options struct {
+	Claims   Claims
+	Clock    clock.Clock
+	Firm     string
+	Holder   *spread.Holder
+	Log      *events.Logger
+	Metrics  *metrics.Registry
+	Place    string
+	Runner   Runner
+	Services *auth.Tokens
+	View     func() *fleet.View
+	Zone     string
+}
+
+// Ingress answers callers. It is safe for concurrent use.
+type Ingress struct {
+	opts      Options
+	tracker   *tracker
+	draining  atomic.Bool
+	budgets   sync.Map // Of *budget.Budget, by service.
+	throttles sync.Map // Of *throttle.Throttle, by limitKey.
+}
+
+type limitKey struct {
+	service string
+	rank    int
+}
+
+// job is one request of a caller.
+type job struct {
+	path     settings.Path
+	policy   *settings.Policy
+	pool     *settings.Policy
+	run      wire.RunRequest
+	deadline time.Time
+	arrived  time.Time
+	key      string
+	// keyed says that the caller chose the key, and so may send it again.
+	keyed    bool
+	attempts int
+}
+
+const defaultFirm = settings.AnyName
+
+// New returns an Ingress.
+func New(opts Options) *Ingress {
+	return &Ingress{opts: opts, tracker: newTracker()}
+}
+
+// Drain tells callers from now on to close their connections.
+func (in *Ingress) Drain() {
+	in.draining.Store(true)
+}
+
+// Dump returns what the ingress knows of the endpoints that it uses.
+func (in *Ingress) Dump() map[string]any {
+	return in.tracker.dump()
+}
+
+// ServeHTTP answers one request.
+func (in *Ingress) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
+	started := in.opts.Clock.Now()
+	if in.draining.Load() {
+		wr.Header().Set("Connection", "close")
+	}
+	jo, refusal := in.newJob(wr, req, started)
+	if refusal != nil {
+		in.write(wr, jo, *refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), jo.deadline)
+	defer cancel()
+	var answer wire.RunAnswer
+	if jo.policy.Idempotent {
+		answer = in.runIdempotent(ctx, jo)
+	} else {
+		answer = in.runOnce(ctx, jo)
+	}
+	in.write(wr, jo, answer)
+	in.opts.Metrics.Observe(fmt.Sprintf("ingress.rank%d.micros", jo.policy.Rank), in.opts.Clock.Now().Sub(started))
+}
+
+// newJob reads a request, and refuses what can't be run.
+func (in *Ingress) newJob(wr http.ResponseWriter, req *http.Request, now time.Time) (*job, *wire.RunAnswer) {
+	jo := &job{arrived: now, key: req.Header.Get(outcome.HeaderKey)}
+	jo.keyed = jo.key != ""
+	current := in.opts.Holder.Current()
+	if current.Version == 0 {
+		return jo, jo.refuse(outcome.NoSettings, "this daemon has no settings yet")
+	}
+	firm := headerOr(req.Header, outcome.HeaderFirm, in.opts.Firm)
+	place := headerOr(req.Header, outcome.HeaderPlace, in.opts.Place)
+	path, found := current.Resolver.Routes().Find(firm, place, req.Method, req.URL.Path)
+	if !found {
+		return jo, jo.refuse(outcome.NoRoute, "no kind of request has this method and path")
+	}
+	jo.path = path
+	jo.policy = current.Resolver.Policy(path)
+	jo.pool = current.Resolver.Policy(settings.Path{Firm: in.opts.Firm, Place: in.opts.Place, Service: path.Service})
+	if jo.policy.Idempotent {
+		jo.keyed = false
+	}
+	if jo.policy.Internal && !in.opts.Services.Accepts(req) {
+		return jo, jo.refuse(outcome.Credentials, "only our own services may ask for this")
+	}
+	limit, err := deadlineOf(req.Header, jo.policy.Deadline)
+	if err != nil {
+		return jo, jo.refuse(outcome.BadRequest, err.Error())
+	}
+	jo.deadline = now.Add(limit)
+	body, err := io.ReadAll(http.MaxBytesReader(wr, req.Body, int64(jo.policy.BodyLimit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return jo, jo.refuse(outcome.BodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", jo.policy.BodyLimit))
+	}
+	if err != nil {
+		return jo, jo.refuse(outcome.BadRequest, "the body could not be read")
+	}
+	jo.run = wire.RunRequest{
+		Service: path.Service, Kind: path.Kind, Firm: firm, Rank: jo.policy.Rank, Idempotent: jo.policy.Idempotent,
+		Method: req.Method, URI: req.URL.RequestURI(), Header: forwardHeader(req.Header, jo.policy.Internal), Body: body,
+		BodyLimit: jo.policy.BodyLimit, Target: jo.policy.Target,
+	}
+	return jo, nil
+}
+
+// refuse returns an answer without a run. A caller that sent its own key may
+// have sent it before, so nothing is promised about the key.
+func (jo *job) refuse(reason outcome.Reason, detail string) *wire.RunAnswer {
+	answer := wire.NotRun(reason, detail)
+	if jo.keyed {
+		answer.Outcome = outcome.Unknown
+	}
+	return &answer
+}
+
+// throttled says whether the request is refused at once for load.
+func (in *Ingress) throttled(jo *job) (wire.RunAnswer, bool) {
+	if !in.throttle(jo).Refuses(in.opts.Clock.Now(), rand.New(globalSource{})) {
+		return wire.RunAnswer{}, false
+	}
+	in.opts.Metrics.Counter(fmt.Sprintf("ingress.rank%d.throttled", jo.policy.Rank)).Inc(1)
+	answer := wire.NotRun(outcome.Overloaded, "the service is overloaded for this rank")
+	answer.RetryAfter = time.Second
+	return answer, true
+}
+
+func (in *Ingress) throttle(jo *job) *throttle.Throttle {
+	th, _ := in.throttles.LoadOrStore(limitKey{jo.path.Service, jo.policy.Rank}, &throttle.Throttle{})
+	return th.(*throttle.Throttle)
+}
+
+func (in *Ingress) budget(service string) *budget.Budget {
+	bud, _ := in.budgets.LoadOrStore(service, budget.New())
+	return bud.(*budget.Budget)
+}
+
+// write sends an answer to the caller.
+func (in *Ingress) write(wr http.ResponseWriter, jo *job, answer wire.RunAnswer) {
+	header := wr.Header()
+	header.Set(outcome.HeaderAttempts, strconv.Itoa(jo.attempts))
+	header.Set(outcome.HeaderOutcome, string(answer.Outcome))
+	in.opts.Metrics.Counter("ingress.outcome." + string(answer.Outcome)).Inc(1)
+	if answer.Outcome == outcome.Ran {
+		for name, values := range answer.Header {
+			if !strings.HasPrefix(name, "Cactus-Outcome") {
+				header[name] = values
+			}
+		}
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		wr.WriteHeader(answer.Status)
+		_, _ = wr.Write(answer.Body)
+		return
+	}
+	in.opts.Log.Write(events.RequestFailed, logrus.Fields{"service": jo.path.Service, "kind": jo.path.Kind, "outcome": answer.Outcome, "reason": answer.Reason, "detail": answer.Detail})
+	in.opts.Metrics.Counter("ingress.reason." + string(answer.Reason)).Inc(1)
+	text := fmt.Sprintf("%s: %s: %s\n", answer.Outcome, answer.Reason, answer.Detail)
+	header.Set(outcome.HeaderReason, string(answer.Reason))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	if seconds := retryAfter(answer); seconds > 0 {
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	wr.WriteHeader(answer.Reason.Status())
+	_, _ = io.WriteString(wr, text)
+}
+
+// globalSource is the process's own random source, which is safe for concurrent use.
+type globalSource struct{}
+
+// Uint64 returns a random number.
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
+func deadlineOf(header http.Header, limit time.Duration) (time.Duration, error) {
+	text := header.Get(outcome.HeaderDeadline)
+	if text == "" {
+		return limit, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || millis < 1 || millis > int64(24*time.Hour/time.Millisecond) {
+		return 0, fmt.Errorf("%s: want milliseconds from 1 up", outcome.HeaderDeadline)
+	}
+	return min(limit, time.Duration(millis)*time.Millisecond), nil
+}
+
+// dropHeaders are not passed on to upstreams.
+var dropHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", outcome.HeaderDeadline, "Cactus-Attempt"}
+
+func forwardHeader(header http.Header, internal bool) wire.Header {
+	forward := wire.Header(header.Clone())
+	for _, name := range dropHeaders {
+		delete(forward, name)
+	}
+	if internal {
+		delete(forward, "Authorization")
+	}
+	return forward
+}
+
+func headerOr(header http.Header, name, otherwise string) string {
+	if value := header.Get(name); value != "" {
+		return value
+	}
+	if otherwise == "" {
+		return defaultFirm
+	}
+	return otherwise
+}
+
+func newAttempt() string {
+	return uuid.NewString()
+}
+
+func retryAfter(answer wire.RunAnswer) int {
+	if answer.RetryAfter > 0 {
+		return int((answer.RetryAfter + time.Second - 1) / time.Second)
+	}
+	switch answer.Reason {
+	case outcome.NoSettings, outcome.NoUpstream, outcome.Stopping, outcome.Overloaded, outcome.Shed, outcome.ClaimFailed, outcome.Running, outcome.KeyClosed:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cactusd/internal/wire/wire.go
@@ -0,0 +1,78 @@
+// Package wire holds the messages that daemons exchange about requests.
+//
+// Usage: an ingress calls MethodRun with a RunRequest at the daemon beside the
+// chosen upstream, whose gate answers with a RunAnswer. A body travels whole in
+// one message, so an answer that was cut never passes for a whole one.
+package wire
+
+import (
+	"time"
+
+	"cactusstream.example/core/health"
+	"cactusstream.example/core/outcome"
+)
+
+// MethodRun is the link method that asks a gate to run a request.
+const MethodRun = "gate.run"
+
+// Header is the part of an HTTP header that travels.
+type Header map[string][]string
+
+// RunRequest asks the gate of an upstream to run one attempt.
+type RunRequest struct {
+	Attempt    string `codec:"a"`
+	Upstream   string `codec:"u"`
+	Service    string `codec:"s"`
+	Kind       string `codec:"k"`
+	Firm       string `codec:"f"`
+	Rank       int    `codec:"r"`
+	Idempotent bool   `codec:"i"`
+	// Trial says that the request is one of the few that show whether a sick
+	// upstream is well again.
+	Trial     bool   `codec:"y"`
+	Method    string `codec:"m"`
+	URI       string `codec:"p"`
+	Header    Header `codec:"h"`
+	Body      []byte `codec:"b"`
+	BodyLimit int    `codec:"l"`
+	// Remaining and Target are durations, so that clocks need not agree.
+	Remaining time.Duration   `codec:"d"`
+	Target    time.Duration   `codec:"t"`
+	Baseline  health.Baseline `codec:"e"`
+}
+
+// Load is what an upstream has to do, first-hand from its gate.
+type Load struct {
+	Running int `codec:"r"`
+	Waiting int `codec:"w"`
+}
+
+// Stats is how an upstream does one kind of work.
+type Stats struct {
+	Median    time.Duration `codec:"m"`
+	ErrorRate float64       `codec:"e"`
+}
+
+// RunAnswer is how an attempt ended.
+type RunAnswer struct {
+	Outcome outcome.Outcome `codec:"o"`
+	Reason  outcome.Reason  `codec:"r"`
+	Detail  string          `codec:"x"`
+	// RetryAfter is when the caller may come back.
+	RetryAfter time.Duration `codec:"y"`
+	Status     int           `codec:"s"`
+	Header     Header        `codec:"h"`
+	Body       []byte        `codec:"b"`
+	Load       Load          `codec:"l"`
+	Stats      Stats         `codec:"t"`
+}
+
+// NotRun returns the answer of an attempt that proved not to run.
+func NotRun(reason outcome.Reason, detail string) RunAnswer {
+	return RunAnswer{Outcome: outcome.NotRun, Reason: reason, Detail: detail}
+}
+
+// Unknown returns the answer of an attempt that may have run.
+func Unknown(reason outcome.Reason, detail string) RunAnswer {
+	return RunAnswer{Outcome: outcome.Unknown, Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/cactuskeeper/internal/cmd/config.go
@@ -0,0 +1,56 @@
+package cmd
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"cactusstream.example/core/configfile"
+	"cactusstream.example/core/consensus"
+	"cactusstream.example/core/process"
+)
+
+// config is the settings of the process.
+type config struct {
+	process.Config
+	DataFolder string
+	SigningKey string
+	Initial    string
+}
+
+func loadConfig(path string) (*config, error) {
+	cfg := &config{}
+	keys := append(cfg.Keys(),
+		configfile.String("keeper", "dataFolder", &cfg.DataFolder, "the path of a folder on the VM's disk", configfile.Required),
+		configfile.File("keeper", "signingKey", &cfg.SigningKey, "the path of a signing key file", configfile.Required),
+		configfile.String("keeper", "initial", &cfg.Initial, "ID PEER-ADDRESS OPERATOR-ADDRESS of each first keeper, with commas between"),
+	)
+	if err := configfile.Load(path, keys); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if _, err := cfg.initialGroup(); err != nil {
+		return nil, configfile.Faults{{File: path, Section: "keeper", Key: "initial", Value: cfg.Initial, Allowed: "ID PEER-ADDRESS OPERATOR-ADDRESS of each first keeper, with commas between"}}
+	}
+	return cfg, nil
+}
+
+// initialGroup returns the first keepers.
+func (co *config) initialGroup() (consensus.Config, error) {
+	var group consensus.Config
+	if co.Initial == "" {
+		return group, nil
+	}
+	for item := range strings.SplitSeq(co.Initial, ",") {
+		fields := strings.Fields(item)
+		if len(fields) != 3 {
+			return group, fmt.Errorf("%q: want three words", item)
+		}
+		for _, address := range fields[1:] {
+			if _, err := netip.ParseAddrPort(address); err != nil {
+				return group, fmt.Errorf("%q: %w", item, err)
+			}
+		}
+		group.Members = append(group.Members, consensus.Member{ID: fields[0], PeerAddress: fields[1], OperatorAddress: fields[2], Voter: true})
+	}
+	return group, nil
+}
--- /dev/null
+++ b/cactuskeeper/internal/keeper/members.go
@@ -0,0 +1,110 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	genkeepers "cactusstream.example/core/gen/keepers"
+
+	"cactusstream.example/core/consensus"
+	"cactusstream.example/core/settings"
+)
+
+// MembersService serves the operators' calls about the group of keepers.
+type MembersService struct {
+	ke *Keeper
+}
+
+// NewMembersService returns the service of a keeper.
+func NewMembersService(ke *Keeper) *MembersService {
+	return &MembersService{ke: ke}
+}
+
+// Change makes one step of a change of members and waits until it is committed.
+func (me *MembersService) Change(ctx context.Context, pay *genkeepers.ChangePayload) (*genkeepers.ChangeResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	done := make(chan result, 1)
+	var index uint64
+	err := me.ke.do(ctx, func(now time.Time) {
+		var err error
+		if index, err = me.propose(now, pay); err != nil {
+			done <- result{err: err}
+			return
+		}
+		me.ke.waiting[index] = waiter{term: me.ke.node.Term(), done: done}
+	})
+	if err != nil {
+		return nil, &genkeepers.RefusedError{Name: "refused", Message: err.Error(), Outcome: "notRun"}
+	}
+	select {
+	case res := <-done:
+		if res.err != nil {
+			return nil, me.errorOf(ctx, res.err)
+		}
+		return &genkeepers.ChangeResult{Index: index}, nil
+	case <-ctx.Done():
+		return nil, me.errorOf(ctx, ErrUnknown)
+	}
+}
+
+// Status returns the group as this keeper sees it.
+func (me *MembersService) Status(ctx context.Context) (*genkeepers.StatusResult, error) {
+	res := &genkeepers.StatusResult{Keepers: []*genkeepers.Keeper{}}
+	err := me.ke.do(ctx, func(now time.Time) {
+		node := me.ke.node
+		res.Self = me.ke.ident.ID
+		res.Term = node.Term()
+		res.CommitIndex = node.Commit()
+		for _, mem := range node.Config().Members {
+			res.Keepers = append(res.Keepers, me.keeperOf(now, mem))
+		}
+	})
+	if err != nil {
+		return nil, &genkeepers.RefusedError{Name: "refused", Message: err.Error(), Outcome: "notRun"}
+	}
+	me.ke.View(func(store *settings.Store) { res.Version = store.Version() })
+	return res, nil
+}
+
+func (me *MembersService) keeperOf(now time.Time, mem consensus.Member) *genkeepers.Keeper {
+	heardAt, match := me.ke.node.Contact(mem.ID)
+	contact := int64(-1)
+	if !heardAt.IsZero() {
+		contact = now.Sub(heardAt).Milliseconds()
+	}
+	if mem.ID == me.ke.ident.ID {
+		contact = 0
+	}
+	return &genkeepers.Keeper{
+		ID: mem.ID, PeerAddress: mem.PeerAddress, OperatorAddress: mem.OperatorAddress, Voter: mem.Voter,
+		Leader: mem.ID == me.ke.node.Leader(), MatchIndex: match, LastContactMs: contact,
+	}
+}
+
+func (me *MembersService) propose(now time.Time, pay *genkeepers.ChangePayload) (uint64, error) {
+	switch pay.Operation {
+	case "add":
+		if pay.PeerAddress == "" || pay.OperatorAddress == "" {
+			return 0, errors.New("add: peerAddress and operatorAddress are needed")
+		}
+		mem := consensus.Member{ID: pay.ID, PeerAddress: pay.PeerAddress, OperatorAddress: pay.OperatorAddress}
+		me.ke.transport.setAddresses(consensus.Config{Members: []consensus.Member{mem}})
+		return me.ke.node.AddLearner(now, mem)
+	case "promote":
+		return me.ke.node.Promote(now, pay.ID)
+	}
+	return me.ke.node.Remove(now, pay.ID)
+}
+
+func (me *MembersService) errorOf(ctx context.Context, err error) error {
+	if errors.Is(err, consensus.ErrNotLeader) {
+		return &genkeepers.NotLeaderError{Message: err.Error(), Leader: me.ke.leaderAddress(ctx)}
+	}
+	known := "notRun"
+	if errors.Is(err, ErrUnknown) {
+		known = "unknown"
+	}
+	return &genkeepers.RefusedError{Name: "refused", Message: err.Error(), Outcome: known}
+}
--- /dev/null
+++ b/cactuskeeper/main.go
@@ -0,0 +1,12 @@
+// Command cactuskeeper keeps the settings of a cactusstream fleet.
+package main
+
+import (
+	"os"
+
+	"cactusstream.example/cactuskeeper/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/consensus/membership.go
@@ -0,0 +1,81 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cactusstream.example/core/codec"
+)
+
+// AddLearner adds a member that does not vote and starts to catch up.
+func (no *Node) AddLearner(now time.Time, mem Member) (uint64, error) {
+	if _, known := no.Config().Find(mem.ID); known {
+		return 0, ErrKnownMember
+	}
+	mem.Voter = false
+	config := no.Config()
+	config.Members = append(slices.Clone(config.Members), mem)
+	return no.proposeConfig(now, config)
+}
+
+// Promote makes a learner a voter once it has stored all that is committed.
+func (no *Node) Promote(now time.Time, id string) (uint64, error) {
+	if no.role != RoleLeader {
+		return 0, ErrNotLeader
+	}
+	mem, known := no.Config().Find(id)
+	if !known {
+		return 0, ErrStranger
+	}
+	if mem.Voter {
+		return 0, ErrKnownMember
+	}
+	if peer := no.peers[id]; peer == nil || peer.match < no.commit || !no.isInContact(now, id) {
+		return 0, ErrNotCaughtUp
+	}
+	config := Config{Members: slices.Clone(no.Config().Members)}
+	for i := range config.Members {
+		if config.Members[i].ID == id {
+			config.Members[i].Voter = true
+		}
+	}
+	return no.proposeConfig(now, config)
+}
+
+// Remove takes a member out of the group.
+func (no *Node) Remove(now time.Time, id string) (uint64, error) {
+	if _, known := no.Config().Find(id); !known {
+		return 0, ErrStranger
+	}
+	config := Config{Members: slices.DeleteFunc(slices.Clone(no.Config().Members), func(mem Member) bool { return mem.ID == id })}
+	return no.proposeConfig(now, config)
+}
+
+// proposeConfig appends a group that differs by one member from the one in
+// force. The one before must be committed, and so must an entry of the
+// leader's own term, or two groups without a common majority could decide.
+func (no *Node) proposeConfig(now time.Time, config Config) (uint64, error) {
+	if no.role != RoleLeader {
+		return 0, ErrNotLeader
+	}
+	if no.log.mustTerm(no.commit) != no.hard.Term {
+		return 0, ErrNotReady
+	}
+	if no.configs[len(no.configs)-1].index > no.commit {
+		return 0, ErrBusy
+	}
+	if !config.HasQuorum(func(id string) bool { return no.isInContact(now, id) }) {
+		return 0, ErrQuorumAtRisk
+	}
+	data, err := codec.Marshal(config)
+	if err != nil {
+		return 0, fmt.Errorf("consensus: propose members: %w", err)
+	}
+	entry := no.appendOwn(EntryConfig, data)
+	if err := no.noteConfig(entry); err != nil {
+		return 0, err
+	}
+	no.replicateAll(now)
+	return entry.Index, nil
+}
--- /dev/null
+++ b/core/link/pool.go
@@ -0,0 +1,190 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"cactusstream.example/core/auth"
+)
+
+const (
+	// Path is where a Server is mounted.
+	Path = "/link"
+
+	dialTimeout = 1 * time.Second
+	redialAfter = 200 * time.Millisecond
+	headerPeer  = "Cactus-Peer"
+)
+
+// Pool holds one connection to each peer that this process asks.
+//
+// Lock order: Pool.mu, then peerConn.mu, then conn.mu.
+type Pool struct {
+	self   string
+	tokens *auth.Tokens
+	mux    *Mux
+	client *http.Client
+	scheme string
+	stop   context.Context
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	peers map[string]*peerConn
+}
+
+// PoolOption changes a Pool.
+type PoolOption func(*Pool)
+
+// Status is one connection of a Pool, for dumps.
+type Status struct {
+	Address  string `json:"address"`
+	Open     bool   `json:"open"`
+	InFlight int    `json:"inFlight"`
+}
+
+type peerConn struct {
+	mu      sync.Mutex
+	con     *conn
+	failed  time.Time
+	lastErr error
+}
+
+// NewPool returns a Pool. The mux answers calls that peers make back on the
+// pool's connections; it may be empty.
+func NewPool(self string, tokens *auth.Tokens, mux *Mux, opts ...PoolOption) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	po := &Pool{
+		self:   self,
+		tokens: tokens,
+		mux:    mux,
+		client: &http.Client{Transport: &http.Transport{}},
+		scheme: "ws",
+		stop:   ctx,
+		cancel: cancel,
+		peers:  make(map[string]*peerConn),
+	}
+	for _, opt := range opts {
+		opt(po)
+	}
+	return po
+}
+
+// WithTLS makes the Pool dial with TLS.
+func WithTLS(cfg *tls.Config) PoolOption {
+	return func(po *Pool) {
+		if cfg != nil {
+			po.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}
+			po.scheme = "wss"
+		}
+	}
+}
+
+// Close closes every connection.
+func (po *Pool) Close() {
+	po.cancel()
+	po.mu.Lock()
+	peers := po.peers
+	po.peers = make(map[string]*peerConn)
+	po.mu.Unlock()
+	for _, pc := range peers {
+		pc.mu.Lock()
+		if pc.con != nil {
+			pc.con.close()
+		}
+		pc.mu.Unlock()
+	}
+}
+
+// Forget closes the connection to an address, as when its member left.
+func (po *Pool) Forget(address string) {
+	po.mu.Lock()
+	pc := po.peers[address]
+	delete(po.peers, address)
+	po.mu.Unlock()
+	if pc == nil {
+		return
+	}
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.con != nil {
+		pc.con.close()
+	}
+}
+
+// Statuses returns the connections, for dumps.
+func (po *Pool) Statuses() []Status {
+	po.mu.Lock()
+	peers := maps.Clone(po.peers)
+	po.mu.Unlock()
+	list := make([]Status, 0, len(peers))
+	for address, pc := range peers {
+		list = append(list, pc.status(address))
+	}
+	return list
+}
+
+// get returns the connection to an address and dials when there is none. A
+// dial that failed a moment ago is not repeated.
+func (po *Pool) get(ctx context.Context, address string) (*conn, error) {
+	po.mu.Lock()
+	pc := po.peers[address]
+	if pc == nil {
+		pc = &peerConn{}
+		po.peers[address] = pc
+	}
+	po.mu.Unlock()
+
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.con != nil && !pc.con.isClosed() {
+		return pc.con, nil
+	}
+	if time.Since(pc.failed) < redialAfter {
+		return nil, fmt.Errorf("dial %s: a moment ago: %w", address, pc.lastErr)
+	}
+	con, err := po.dial(ctx, address)
+	if err != nil {
+		pc.failed = time.Now()
+		pc.lastErr = err
+		return nil, err
+	}
+	pc.con = con
+	return con, nil
+}
+
+func (po *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	if po.stop.Err() != nil {
+		return nil, errors.New("dial: the pool is closed")
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	header := make(http.Header)
+	po.tokens.Sign(header)
+	header.Set(headerPeer, po.self)
+	ws, _, err := websocket.Dial(ctx, po.scheme+"://"+address+Path, &websocket.DialOptions{HTTPClient: po.client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled}) //nolint:bodyclose // The library says that the body of a handshake need not be closed.
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	con := newConn(address, ws, po.mux)
+	go con.run(po.stop)
+	return con, nil
+}
+
+func (pc *peerConn) status(address string) Status {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.con == nil || pc.con.isClosed() {
+		return Status{Address: address}
+	}
+	pc.con.mu.Lock()
+	defer pc.con.mu.Unlock()
+	return Status{Address: address, Open: true, InFlight: len(pc.con.pending)}
+}
--- /dev/null
+++ b/core/process/operators.go
@@ -0,0 +1,98 @@
+package process
+
+import (
+	"context"
+	"net/http"
+
+	goahttp "goa.design/goa/v3/http"
+
+	processserver "cactusstream.example/core/gen/http/process/server"
+	genprocess "cactusstream.example/core/gen/process"
+
+	"cactusstream.example/core/auth"
+	"cactusstream.example/core/metrics"
+)
+
+const maxOperatorBody = 16 << 20
+
+// Dump returns the state of a process, by part.
+type Dump func() map[string]any
+
+// Status returns the status of a process.
+type Status func() *genprocess.StatusResult
+
+// Operators is the operators' listener: goa services behind a credential.
+type Operators struct {
+	mux    goahttp.ResolverMuxer
+	http   *http.ServeMux
+	tokens *auth.Tokens
+}
+
+type processService struct {
+	status  Status
+	dump    Dump
+	metrics *metrics.Registry
+}
+
+// NewOperators returns the listener's handler with the services that every
+// process has: status, dump and metrics.
+func NewOperators(tokens *auth.Tokens, status Status, dump Dump, reg *metrics.Registry) *Operators {
+	op := &Operators{mux: goahttp.NewMuxer(), http: http.NewServeMux(), tokens: tokens}
+	svc := &processService{status: status, dump: dump, metrics: reg}
+	Mount(op.mux, processserver.New, processserver.Mount, genprocess.NewEndpoints(svc))
+	op.http.Handle("/v1/", LimitBody(op.mux))
+	op.http.HandleFunc("GET /metrics", func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_ = reg.WritePrometheus(wr)
+	})
+	return op
+}
+
+// Handler returns the handler of the listener; refused is told of calls
+// without a right credential.
+func (op *Operators) Handler(refused func(*http.Request)) http.Handler {
+	return auth.Require(op.tokens, refused, op.http)
+}
+
+// Mux returns the mux that further goa services are mounted on.
+func (op *Operators) Mux() goahttp.Muxer {
+	return op.mux
+}
+
+// newServer is the shape of the constructors that goa generates.
+type newServer[E, S any] func(
+	endpoints E,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(context.Context, error) goahttp.Statuser,
+) S
+
+// Mount puts a goa service on a mux.
+func Mount[E, S any](mux goahttp.Muxer, create newServer[E, S], mount func(goahttp.Muxer, S), endpoints E) {
+	mount(mux, create(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil))
+}
+
+// Dump returns the state of the process.
+func (pr *processService) Dump(context.Context) (map[string]any, error) {
+	return pr.dump(), nil
+}
+
+// Metrics returns the metrics by name.
+func (pr *processService) Metrics(context.Context) (map[string]any, error) {
+	return pr.metrics.All(), nil
+}
+
+// Status returns the status of the process.
+func (pr *processService) Status(context.Context) (*genprocess.StatusResult, error) {
+	return pr.status(), nil
+}
+
+// LimitBody bounds the bodies of operators' and upstreams' calls.
+func LimitBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		req.Body = http.MaxBytesReader(wr, req.Body, maxOperatorBody)
+		next.ServeHTTP(wr, req)
+	})
+}
--- /dev/null
+++ b/core/settings/key.go
@@ -0,0 +1,181 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cactusstream.example/core/claim"
+)
+
+// Level is the depth of a node in the tree.
+type Level int
+
+// The levels, from the root down.
+const (
+	LevelRoot Level = iota
+	LevelFirm
+	LevelPlace
+	LevelService
+	LevelKind
+)
+
+// Key is one key of the settings: its unit, range, default and meaning.
+type Key struct {
+	Name    string
+	Unit    string
+	Range   string
+	Default string
+	// Lowest is the deepest level that may set the key.
+	Lowest Level
+	// Highest is the shallowest level, besides the root, that may set the key.
+	Highest Level
+	Text    string
+	parse   func(*Policy, string) error
+}
+
+var keys = []Key{
+	intKey("bodyLimit", "bytes", 0, 1<<20, "262144", LevelKind, "Largest body of a request or an answer.", func(po *Policy) *int { return &po.BodyLimit }),
+	claimHoldersKey(),
+	durationKey("deadline", 10*time.Millisecond, 10*time.Minute, "5s", LevelKind, "Longest that a request may take, queues and attempts included.", func(po *Policy) *time.Duration { return &po.Deadline }),
+	durationKey("ejectBase", 100*time.Millisecond, time.Hour, "10s", LevelService, "First stay away of an ejected upstream; doubles when it flaps.", func(po *Policy) *time.Duration { return &po.EjectBase }),
+	durationKey("ejectMax", time.Second, 24*time.Hour, "5m0s", LevelService, "Longest stay away of an ejected upstream.", func(po *Policy) *time.Duration { return &po.EjectMax }),
+	floatKey("ejectThreshold", "log-likelihood", 1, 50, "7", LevelService, "Evidence that ejects an upstream; higher ejects later and less often by mistake.", func(po *Policy) *float64 { return &po.EjectThreshold }),
+	intKey("floorEndpoints", "endpoints", 0, 10000, "1", LevelService, "Endpoints of a service that ejection leaves in use.", func(po *Policy) *int { return &po.FloorEndpoints }),
+	intKey("floorPercent", "percent", 0, 100, "60", LevelService, "Share of a service's announced slots that ejection leaves in use.", func(po *Policy) *int { return &po.FloorPercent }),
+	boolKey("idempotent", "false", "Whether a request may run more than once.", func(po *Policy) *bool { return &po.Idempotent }),
+	boolKey("internal", "false", "Whether only our own services may ask, by credential.", func(po *Policy) *bool { return &po.Internal }),
+	choiceKey("method", []string{"GET", "POST", "PUT", "PATCH", "DELETE"}, "GET", LevelKind, "HTTP method of the kind's requests.", func(po *Policy) *string { return &po.Method }),
+	pathKey(),
+	intKey("queueLimit", "requests", 0, 100000, "64", LevelService, "Requests that may wait for one endpoint.", func(po *Policy) *int { return &po.QueueLimit }),
+	intKey("rank", "rank", 0, RankCount-1, "2", LevelKind, "Rank of the work; 0 is the most urgent.", func(po *Policy) *int { return &po.Rank }),
+	intKey("retryAttempts", "attempts", 1, 10, "3", LevelKind, "Attempts at most for one request.", func(po *Policy) *int { return &po.RetryAttempts }),
+	intKey("retryPercent", "percent", 0, 100, "10", LevelService, "Further attempts, as a share of a service's requests.", func(po *Policy) *int { return &po.RetryPercent }),
+	intKey("share0", "percent", 0, 100, "40", LevelService, "Share of the slots that rank 0 keeps while others flood.", func(po *Policy) *int { return &po.Share[0] }),
+	intKey("share1", "percent", 0, 100, "20", LevelService, "Share of the slots that rank 1 keeps while others flood.", func(po *Policy) *int { return &po.Share[1] }),
+	intKey("share2", "percent", 0, 100, "10", LevelService, "Share of the slots that rank 2 keeps while others flood.", func(po *Policy) *int { return &po.Share[2] }),
+	intKey("share3", "percent", 0, 100, "5", LevelService, "Share of the slots that rank 3 keeps while others flood.", func(po *Policy) *int { return &po.Share[3] }),
+	floatKey("slowFactor", "times", 1.5, 100, "3", LevelService, "How many times the siblings' median latency counts as slow.", func(po *Policy) *float64 { return &po.SlowFactor }),
+	durationKey("slowStart", 0, time.Hour, "5s", LevelService, "Time over which a warm upstream grows to its full share.", func(po *Policy) *time.Duration { return &po.SlowStart }),
+	durationKey("target", time.Millisecond, time.Minute, "250ms", LevelKind, "Latency that the kind should meet.", func(po *Policy) *time.Duration { return &po.Target }),
+	intKey("trialSuccesses", "requests", 1, 1000, "5", LevelService, "Idempotent requests in a row that bring an ejected upstream back.", func(po *Policy) *int { return &po.TrialSuccesses }),
+	intKey("zoneSpillPercent", "percent", 0, 1000, "80", LevelService, "Load of the own availability zone from which work goes to others.", func(po *Policy) *int { return &po.ZoneSpillPercent }),
+}
+
+var keysByName = indexKeys()
+
+// FindKey returns the key of a name.
+func FindKey(name string) (Key, bool) {
+	key, ok := keysByName[name]
+	return key, ok
+}
+
+// Keys returns all keys in the order of their names.
+func Keys() []Key {
+	return slices.Clone(keys)
+}
+
+// Check says whether a value is allowed for the key.
+func (ke Key) Check(value string) error {
+	return ke.parse(&Policy{}, value)
+}
+
+// IsAllowedAt says whether a node of a level may set the key.
+func (ke Key) IsAllowedAt(level Level) bool {
+	return level == LevelRoot && ke.Highest < LevelKind || level >= ke.Highest && level <= ke.Lowest
+}
+
+// String names the level.
+func (le Level) String() string {
+	return [...]string{"root", "firm", "place", "service", "kind"}[le]
+}
+
+func boolKey(name, def, text string, target func(*Policy) *bool) Key {
+	return Key{Name: name, Unit: "truth", Range: "true or false", Default: def, Highest: LevelFirm, Lowest: LevelKind, Text: text, parse: func(po *Policy, value string) error {
+		truth, err := strconv.ParseBool(value)
+		if err != nil || value != strconv.FormatBool(truth) {
+			return fmt.Errorf("%s = %q: want true or false", name, value)
+		}
+		*target(po) = truth
+		return nil
+	}}
+}
+
+func claimHoldersKey() Key {
+	return Key{Name: "claimHolders", Unit: "table", Range: "empty, or EPOCH GROUP... [former GROUP...], a group being three daemon ids, as 2 d1,d2,d3 former d1,d2,d4", Default: "", Highest: LevelFirm, Lowest: LevelRoot, Text: "Daemons that hold the claims of non-idempotent requests; `cactusctl claims assign` sets it.", parse: func(po *Policy, value string) error {
+		table, err := claim.ParseTable(value)
+		if err != nil {
+			return fmt.Errorf("claimHolders = %q: %w", value, err)
+		}
+		po.ClaimHolders = table
+		return nil
+	}}
+}
+
+func choiceKey(name string, words []string, def string, lowest Level, text string, target func(*Policy) *string) Key {
+	allowed := strings.Join(words, ", ")
+	return Key{Name: name, Unit: "word", Range: allowed, Default: def, Highest: LevelFirm, Lowest: lowest, Text: text, parse: func(po *Policy, value string) error {
+		if !slices.Contains(words, value) {
+			return fmt.Errorf("%s = %q: want one of %s", name, value, allowed)
+		}
+		*target(po) = value
+		return nil
+	}}
+}
+
+func durationKey(name string, low, high time.Duration, def string, lowest Level, text string, target func(*Policy) *time.Duration) Key {
+	allowed := fmt.Sprintf("%s to %s", low, high)
+	return Key{Name: name, Unit: "duration", Range: allowed, Default: def, Highest: LevelFirm, Lowest: lowest, Text: text, parse: func(po *Policy, value string) error {
+		dur, err := time.ParseDuration(value)
+		if err != nil || dur < low || dur > high {
+			return fmt.Errorf("%s = %q: want a duration from %s", name, value, allowed)
+		}
+		*target(po) = dur
+		return nil
+	}}
+}
+
+func floatKey(name, unit string, low, high float64, def string, lowest Level, text string, target func(*Policy) *float64) Key {
+	allowed := fmt.Sprintf("%g to %g", low, high)
+	return Key{Name: name, Unit: unit, Range: allowed, Default: def, Highest: LevelFirm, Lowest: lowest, Text: text, parse: func(po *Policy, value string) error {
+		num, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(num >= low && num <= high) {
+			return fmt.Errorf("%s = %q: want a number from %s", name, value, allowed)
+		}
+		*target(po) = num
+		return nil
+	}}
+}
+
+func indexKeys() map[string]Key {
+	byName := make(map[string]Key, len(keys))
+	for _, key := range keys {
+		byName[key.Name] = key
+	}
+	return byName
+}
+
+func intKey(name, unit string, low, high int, def string, lowest Level, text string, target func(*Policy) *int) Key {
+	allowed := fmt.Sprintf("%d to %d", low, high)
+	return Key{Name: name, Unit: unit, Range: allowed, Default: def, Highest: LevelFirm, Lowest: lowest, Text: text, parse: func(po *Policy, value string) error {
+		num, err := strconv.Atoi(value)
+		if err != nil || num < low || num > high {
+			return fmt.Errorf("%s = %q: want a whole number from %s", name, value, allowed)
+		}
+		*target(po) = num
+		return nil
+	}}
+}
+
+func pathKey() Key {
+	const allowed = "a path such as /catalogo/stock, without a slash at its end"
+	return Key{Name: "path", Unit: "path", Range: allowed, Default: "", Highest: LevelKind, Lowest: LevelKind, Text: "Path prefix, in whole segments, of the kind's requests.", parse: func(po *Policy, value string) error {
+		if !strings.HasPrefix(value, "/") || strings.HasSuffix(value, "/") || strings.Contains(value, "//") || strings.ContainsAny(value, " ?#%") {
+			return fmt.Errorf("path = %q: want %s", value, allowed)
+		}
+		po.Path = value
+		return nil
+	}}
+}
--- /dev/null
+++ b/core/settings/policy.go
@@ -0,0 +1,36 @@
+package settings
+
+import (
+	"time"
+
+	"cactusstream.example/core/claim"
+)
+
+// RankCount is the number of ranks; rank 0 is the most urgent.
+const RankCount = 4
+
+// Policy is the effective settings of one kind of request.
+type Policy struct {
+	Method           string
+	Path             string
+	Idempotent       bool
+	Internal         bool
+	Rank             int
+	Target           time.Duration
+	Deadline         time.Duration
+	BodyLimit        int
+	Share            [RankCount]int
+	FloorPercent     int
+	FloorEndpoints   int
+	EjectThreshold   float64
+	SlowFactor       float64
+	EjectBase        time.Duration
+	EjectMax         time.Duration
+	TrialSuccesses   int
+	SlowStart        time.Duration
+	RetryAttempts    int
+	RetryPercent     int
+	QueueLimit       int
+	ZoneSpillPercent int
+	ClaimHolders     claim.Table
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,133 @@
+#!/usr/bin/env bash
+# Starts a small fleet with both deployments of the brief on loopback, shows
+# what it does, and stops it. KEEP=1 leaves it up until Ctrl-C.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BIN=$PWD/bin
+RUN=$(mktemp -d)
+. scripts/fleet.sh
+trap 'fleet_kill; rm -rf "$RUN"' EXIT
+
+step() { printf '\n== %s\n' "$*"; }
+ROWS=()
+row() { # what result
+	ROWS+=("$1|$2")
+	printf '%-58s %s\n' "$1" "$2"
+}
+FAILED=0
+check() { # what command...
+	local what=$1
+	shift
+	if "$@" >"$RUN/check.out" 2>&1; then row "$what" ok; else
+		row "$what" FAILED
+		cat "$RUN/check.out"
+		FAILED=1
+	fi
+}
+
+step "three keepers, seven daemons, 22 upstreams"
+fleet_init 3
+for i in 1 2 3; do keeper_start $i; done
+daemon_start 1 centro-a quillota cl-centro
+daemon_start 2 centro-b quillota cl-centro
+daemon_start 3 centro-c quillota cl-centro
+daemon_start 4 tln-a lavavalgus ee-north
+daemon_start 5 tln-b lavavalgus ee-north
+daemon_start 6 tln-c lavavalgus ee-north
+daemon_start 7 mrd lavavalgus ee-north
+for d in 1 2 3; do
+	upstream_start stock$d catalogo $d 5 350 10ms
+	upstream_start desk$d reservas $d 5 350 10ms
+	upstream_start cutter$d corte $d 5 350 10ms
+done
+for d in 4 5 6 7; do
+	upstream_start reader$d cue-reader $d 4 330 5ms
+	upstream_start control$d cue-control $d 4 330 5ms
+	upstream_start libretto$d libretto-desk $d 4 330 5ms
+done
+wait_for 15 "$BIN/cactusctl" settings export
+
+step "an operator applies the settings of both firms"
+# The pools of the demo are smaller than the firms', and so are their floors.
+sed 's/^floorEndpoints = .*/floorEndpoints = 2/' examples/quillota.ini examples/lavavalgus.ini >"$RUN/tree.ini"
+"$BIN/cactusctl" settings check "$RUN/tree.ini"
+all_alive() { [ "$("$BIN/cactusctl" status --output json | grep -c '"Program": "cactusd"')" = 7 ]; }
+wait_for 15 all_alive
+check "settings applied and in force in every daemon" "$BIN/cactusctl" settings apply "$RUN/tree.ini" --reason "first settings" --author demo --wait
+check "claim holders assigned" "$BIN/cactusctl" claims assign --reason "first holders" --author demo --wait
+all_ready() { [ "$("$BIN/cactusctl" upstreams --output json | grep -c '"State": "ready"')" = 21 ]; }
+wait_for 15 all_ready
+sleep 1.2
+
+step "one call of each kind, to daemons of the firm"
+call() { # what target extra...
+	local what=$1 target=$2
+	shift 2
+	check "$what" "$BIN/standin" call --target "$target" --count 20 --expect-good "$@"
+}
+Q=127.0.2.1:8080,127.0.2.2:8080,127.0.2.3:8080
+L=127.0.2.4:8080,127.0.2.5:8080,127.0.2.6:8080,127.0.2.7:8080
+SERVICE=$RUN/keys/service.token
+call "quillota browse" $Q --path /catalogo/browse
+call "quillota stock lookup" $Q --path /catalogo/stock
+call "quillota price lookup, internal, with credential" $Q --path /catalogo/price --token-file "$SERVICE"
+call "quillota booking status" $Q --path /reservas/status
+call "quillota deposit booking, with key" $Q --method POST --path /reservas/deposit --body 200 --keys
+call "quillota cut order, with key" $Q --method POST --path /corte/order --body 200 --keys
+call "quillota pallet lookup, internal, with credential" $Q --path /corte/pallet --token-file "$SERVICE"
+call "lavavalgus cue line" $L --path /cues/line
+call "lavavalgus rehearsal lookup" $L --path /cues/rehearsal
+call "lavavalgus timing lookup, internal, with credential" $L --path /cues/timing --token-file "$SERVICE"
+call "lavavalgus cue advance, with key" $L --method POST --path /cues/advance --keys
+call "lavavalgus show publish, with key" $L --method POST --path /libretto/publish --body 2000 --keys
+call "lavavalgus libretto lookup, internal, with credential" $L --path /libretto/lookup --token-file "$SERVICE"
+internal_refused() { "$BIN/standin" call --target 127.0.2.1:8080 --path /catalogo/price --output json | grep -q '"statuses":{"401":1}'; }
+check "internal lookup without a credential is refused" internal_refused
+
+step "one cue reader turns gray: it answers probes and stalls real work"
+"$BIN/standin" fault "${CONTROL[reader4]}" stall
+"$BIN/standin" call --target "$L" --path /cues/line --rate 100 --duration 3s --output json >"$RUN/gray.json"
+CUES=(--daemons 127.0.2.5:7101 --service cue-reader)
+"$BIN/cactusctl" upstreams "${CUES[@]}"
+ejected() { "$BIN/cactusctl" upstreams "${CUES[@]}" --output json | grep -A12 '"ID": "reader4"' | grep -q '"State": "\(ejected\|trial\)"'; }
+check "the gray reader is ejected" ejected
+before=$("$BIN/standin" counts "${CONTROL[reader4]}" | grep -o '"runs":[0-9]*' | grep -o '[0-9]*')
+check "cue lines go on without it" "$BIN/standin" call --target "$L" --path /cues/line --rate 100 --duration 2s --expect-good
+after=$("$BIN/standin" counts "${CONTROL[reader4]}" | grep -o '"runs":[0-9]*' | grep -o '[0-9]*')
+row "work that the gray reader still got, of 200 requests" "$((after - before))"
+"$BIN/standin" fault "${CONTROL[reader4]}" none
+
+step "an operator changes a setting"
+check "rank of rehearsal lookups changed, in force everywhere" "$BIN/cactusctl" settings set lavavalgus/ee-north/cue-reader/rehearsalLookup rank 2 --reason "a premiere" --author demo --wait
+"$BIN/cactusctl" status
+
+if [ "${KEEP:-}" = 1 ]; then
+	cat <<-EOF
+
+		The fleet is up until Ctrl-C. Try, in another shell:
+		  export CACTUS_KEEPERS=$CACTUS_KEEPERS CACTUS_DAEMONS=$CACTUS_DAEMONS CACTUS_TOKEN_FILE=$CACTUS_TOKEN_FILE
+		  bin/cactusctl status
+		  bin/cactusctl upstreams
+		  bin/cactusctl settings explain quillota/cl-centro/corte/cutOrder
+		  bin/standin call --target $L --path /cues/line --rate 50 --duration 5s
+		  bin/standin fault ${CONTROL[reader5]} slow --factor 20
+		  bin/cactusctl dump 127.0.2.4:7101
+	EOF
+	trap 'echo' INT
+	wait || true
+	trap - INT
+fi
+
+step "everything stops, gracefully"
+clean=0
+total=0
+for name in $(printf '%s\n' "${!PIDS[@]}" | sort -r); do
+	total=$((total + 1))
+	stop_one "$name" && clean=$((clean + 1)) || echo "$name: exit $?"
+done
+row "processes that exited with 0" "$clean of $total"
+[ $clean = $total ] || FAILED=1
+
+step "what happened"
+for line in "${ROWS[@]}"; do printf '%-58s %s\n' "${line%%|*}" "${line##*|}"; done
+exit $FAILED
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Runs all tests of all modules. Tests that KNOWN-RED.txt names are run by
+# themselves, printed, and passed over.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+export CACTUS_BIN=$PWD/bin
+# A line of KNOWN-RED.txt that begins with "test:" names module, package and
+# test, as: test: cactusd ./internal/story TestRollingRestart
+red=$(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
+status=0
+run() { # module skip-pattern arguments...
+	local module=$1 skip=$2
+	shift 2
+	(cd "$module" && go test ${skip:+-skip "$skip"} "$@" ./...) || status=1
+}
+for module in core cactusctl cactusd cactuskeeper standin; do
+	skip=$(awk -v m="$module" '$1==m {printf "%s^%s$", (n++ ? "|" : ""), $3}' <<<"$red")
+	run "$module" "$skip" -race -timeout 280s
+done
+while read -r module package name; do
+	[ -n "${module:-}" ] || continue
+	echo "known red: $module $package $name"
+	(cd "$module" && go test -race -timeout 120s -run "^$name\$" "$package") || echo "still red: $name"
+done <<<"$red"
+exit $status
