--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -62,12 +62,12 @@
 	}
 	resp, err := up.transport(req).RoundTrip(hreq)
 	if err != nil {
-		return up.failure(ctx, req, wrote.Load(), err)
+		return up.failure(ctx, wrote.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := up.readAnswer(req, resp)
 	if err != nil {
-		return up.failure(ctx, req, true, err)
+		return up.failure(ctx, true, err)
 	}
 	return answerOf(resp, body)
 }
@@ -133,7 +133,7 @@
 
 // failure tells what is known of an attempt without a whole answer. Only a
 // request of which no byte was written is proved not to have run.
-func (up *upstreamClient) failure(ctx context.Context, req wire.RunRequest, wrote bool, err error) (wire.RunAnswer, sendResult) {
+func (up *upstreamClient) failure(ctx context.Context, wrote bool, err error) (wire.RunAnswer, sendResult) {
 	if errors.Is(err, errOtherAnswer) {
 		up.reusing.CloseIdleConnections()
 	}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -200,7 +200,7 @@
 	if no.ignoresVote(now, msg) {
 		return
 	}
-	if msg.Term > no.hard.Term && msg.Kind != MessagePreVote && !(msg.Kind == MessagePreVoteAnswer && !msg.Reject) {
+	if msg.Term > no.hard.Term && !msg.isAboutFutureTerm() {
 		leader := ""
 		if msg.Kind == MessageAppend || msg.Kind == MessageSnapshot {
 			leader = msg.From
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -155,6 +155,12 @@
 	return [...]string{"follower", "preCandidate", "candidate", "leader"}[ro]
 }
 
+// isAboutFutureTerm says whether the term of a message is one that a node only
+// asks for, in a pre-vote, and that nobody has begun.
+func (me Message) isAboutFutureTerm() bool {
+	return me.Kind == MessagePreVote || me.Kind == MessagePreVoteAnswer && !me.Reject
+}
+
 // Find returns the member of an id.
 func (co Config) Find(id string) (Member, bool) {
 	for _, mem := range co.Members {
--- /dev/null
+++ b/core/settings/store_test.go
@@ -0,0 +1,169 @@
+package settings_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cactusstream.example/core/codec"
+	"cactusstream.example/core/settings"
+)
+
+func firstChange() settings.Proposal {
+	return settings.Proposal{ID: "first", Author: "test", Time: time.Unix(1, 0).UTC(), Edits: settings.Diff(&settings.Tree{}, settings.NewTree())}
+}
+
+func rankChange(id string, expect uint64, rank string) settings.Proposal {
+	return settings.Proposal{ID: id, Author: id, Expect: expect, Edits: []settings.Edit{{Path: "acme", Key: "rank", Value: rank}}}
+}
+
+func newStore(t *testing.T) *settings.Store {
+	t.Helper()
+	store := settings.NewStore()
+	if _, _, err := store.Apply(firstChange()); err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
+// restored returns the store that a snapshot of another one gives.
+func restored(t *testing.T, store *settings.Store) *settings.Store {
+	t.Helper()
+	data, err := codec.Marshal(store.State())
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := codec.Unmarshal[settings.State](data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return settings.RestoreStore(state)
+}
+
+func TestOneOfTwoEqualNumbersWins(t *testing.T) {
+	is := is.New(t)
+	store := newStore(t)
+	_, _, err := store.Apply(rankChange("one", 1, "0"))
+	is.NoErr(err)
+	_, _, err = store.Apply(rankChange("two", 1, "3"))
+	var conflict *settings.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.LostTo.ID, "one") // The loser sees what it lost to.
+	is.Equal(store.Tree().Nodes["acme"]["rank"], "0")
+}
+
+func TestResendGetsTheFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	store := newStore(t)
+	first, _, err := store.Apply(rankChange("one", 1, "0"))
+	is.NoErr(err)
+	_, _, err = store.Apply(rankChange("two", 2, "3"))
+	is.NoErr(err)
+	for _, st := range []*settings.Store{store, restored(t, store)} {
+		again, duplicate, err := st.Apply(rankChange("one", 1, "0"))
+		is.NoErr(err)
+		is.True(duplicate)
+		is.Equal(again.Version, first.Version)
+		is.Equal(st.Tree().Nodes["acme"]["rank"], "3") // The resend changes nothing.
+		_, _, err = st.Apply(rankChange("one", 1, "2"))
+		is.True(errors.Is(err, settings.ErrReused))
+	}
+}
+
+func TestBadChangeIsRefusedWhole(t *testing.T) {
+	is := is.New(t)
+	store := newStore(t)
+	pro := settings.Proposal{ID: "bad", Expect: 1, Edits: []settings.Edit{
+		{Path: "acme", Key: "rank", Value: "1"},
+		{Path: "acme", Key: "rank9", Value: "1"},
+		{Path: "acme/north", Key: "floorPercent", Value: "101"},
+		{Path: "a/b/c/d/e", Key: "rank", Value: "1"},
+		{Path: "acme", Key: "path", Value: "/x"},
+	}}
+	var invalid *settings.InvalidError
+	is.True(errors.As(store.Check(pro), &invalid))
+	is.Equal(len(invalid.Faults), 4) // All faults at once.
+	is.Equal(store.Version(), uint64(1))
+}
+
+func TestRootKeepsEveryKey(t *testing.T) {
+	is := is.New(t)
+	store := newStore(t)
+	err := store.Check(settings.Proposal{ID: "u", Expect: 1, Edits: []settings.Edit{{Path: "root", Key: "rank", Unset: true}}})
+	is.True(err != nil)
+}
+
+func TestSameRouteTwiceIsRefused(t *testing.T) {
+	is := is.New(t)
+	store := newStore(t)
+	err := store.Check(settings.Proposal{ID: "r", Expect: 1, Edits: []settings.Edit{
+		{Path: "acme/north/stock/one", Key: "path", Value: "/stock"},
+		{Path: "acme/north/stock/two", Key: "path", Value: "/stock"},
+	}})
+	is.True(err != nil && strings.Contains(err.Error(), "same method and path"))
+}
+
+// TestHistoryGivesEveryVersion compares At with trees that were kept aside,
+// and the state with that of a snapshot, for random changes.
+func TestHistoryGivesEveryVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := settings.NewStore()
+		if _, _, err := store.Apply(firstChange()); err != nil {
+			t.Fatal(err)
+		}
+		kept := []string{"", store.Tree().Digest()}
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			edit := settings.Edit{
+				Path: rapid.SampledFrom([]string{"acme", "bolt", "acme/north"}).Draw(t, "path"),
+				Key:  rapid.SampledFrom([]string{"rank", "internal"}).Draw(t, "key"), Unset: rapid.Bool().Draw(t, "unset"),
+			}
+			if !edit.Unset {
+				edit.Value = map[string]string{"rank": "1", "internal": "true"}[edit.Key]
+			}
+			pro := settings.Proposal{ID: fmt.Sprint(rapid.IntRange(0, 40).Draw(t, "id")), Expect: store.Version(), Edits: []settings.Edit{edit}}
+			if _, duplicate, err := store.Apply(pro); err == nil && !duplicate {
+				kept = append(kept, store.Tree().Digest())
+			}
+		}
+		for version := 1; version < len(kept); version++ {
+			tree, err := store.At(uint64(version))
+			if err != nil || tree.Digest() != kept[version] {
+				t.Fatalf("version %d is not what it was", version)
+			}
+		}
+	})
+}
+
+func TestINIRoundTrip(t *testing.T) {
+	is := is.New(t)
+	tree := largeTree()
+	again, err := settings.ParseINI(tree.INI())
+	is.NoErr(err)
+	is.Equal(again.Digest(), tree.Digest())
+	is.Equal(len(settings.Diff(tree, again)), 0)
+}
+
+func FuzzParseINI(f *testing.F) {
+	f.Add([]byte("[acme]\nrank = 1\n"))
+	f.Add([]byte("[acme]\nrank = 1\nrank = 2\n"))
+	f.Add([]byte("[a/b/c/d]\npath = /x\n[root]\n"))
+	f.Add([]byte("[[\x00]]\n=\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tree, err := settings.ParseINI(data)
+		if err != nil {
+			return
+		}
+		if len(tree.Validate()) > 0 {
+			return
+		}
+		again, err := settings.ParseINI(tree.INI())
+		if err != nil || again.Digest() != tree.Digest() {
+			t.Fatalf("a valid tree does not survive its own INI form: %v", err)
+		}
+	})
+}
