test: failure stories with real processes

Cause: the promises were proved in virtual time only.

Found: in the first run of the rolling restart 1 of 1,262 requests ended in EOF. Cause: net/http does not wait for a connection in the moment between its acceptance and its registration.

--- a/core/process/process.go
+++ b/core/process/process.go
@@ -39,6 +39,7 @@
 )
 
 const (
+	acceptedGrace     = 100 * time.Millisecond
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
 	readHeaderTimeout = 5 * time.Second
@@ -71,8 +72,9 @@
 
 // Server is one HTTP listener.
 type Server struct {
-	address string
-	http    *http.Server
+	address  string
+	http     *http.Server
+	listener net.Listener
 }
 
 // Error returns the text of the error inside.
@@ -164,7 +166,13 @@
 }
 
 // Shutdown closes the listener and waits until every request was answered.
+// Between the two it waits a little: net/http does not know of a connection
+// for a moment after it was accepted, and would not wait for its request.
 func (se *Server) Shutdown(ctx context.Context) error {
+	if se.listener != nil {
+		_ = se.listener.Close()
+		time.Sleep(acceptedGrace)
+	}
 	if err := se.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("stop %s: %w", se.address, err)
 	}
@@ -177,6 +185,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	se.listener = lis
 	if se.http.TLSConfig != nil {
 		lis = tls.NewListener(lis, se.http.TLSConfig)
 	}
--- /dev/null
+++ b/standin/internal/story/fleet_test.go
@@ -0,0 +1,431 @@
+// Package story_test tells failure stories with the real programs on loopback.
+// The programs are those of the folder that CACTUS_BIN names; `make test` builds
+// them first.
+package story_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cactusstream.example/standin/internal/caller"
+	"cactusstream.example/standin/internal/upstream"
+)
+
+// fleet is a small fleet of real processes in a folder of its own. Every fleet
+// has a net of its own: keepers at 127.X.1.N and daemons at 127.X.2.N.
+type fleet struct {
+	t       *testing.T
+	bin     string
+	dir     string
+	net     int
+	keepers int
+	procs   map[string]*proc
+	ups     map[string]*standIn
+	ports   int
+}
+
+type proc struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+type standIn struct {
+	id, control string
+}
+
+var nets struct {
+	sync.Mutex
+	next int
+}
+
+func newFleet(t *testing.T, keepers int) *fleet {
+	t.Helper()
+	bin := os.Getenv("CACTUS_BIN")
+	if bin == "" {
+		t.Skip("CACTUS_BIN names no folder; run `make test`")
+	}
+	nets.Lock()
+	nets.next++
+	fl := &fleet{t: t, bin: bin, dir: t.TempDir(), net: 10 + nets.next, keepers: keepers, procs: make(map[string]*proc), ups: make(map[string]*standIn)}
+	nets.Unlock()
+	t.Cleanup(fl.killAll)
+	fl.must("cactuskeeper", "keygen", "--out", fl.path("keys"))
+	for number := 1; number <= keepers; number++ {
+		fl.configureKeeper(number)
+		fl.must("cactuskeeper", "init", "--config", fl.path(fmt.Sprintf("k%d.ini", number)))
+		fl.startKeeper(number)
+	}
+	return fl
+}
+
+// newQuillota starts three keepers, three daemons in three availability zones
+// and count upstreams of each service beside each daemon, with settings and
+// claim holders in force.
+func newQuillota(t *testing.T, count int, latency time.Duration) *fleet {
+	t.Helper()
+	fl := newFleet(t, 3)
+	for number := 1; number <= 3; number++ {
+		fl.startDaemon(number)
+	}
+	for number := 1; number <= 3; number++ {
+		for at := 1; at <= count; at++ {
+			fl.startUpstream(fmt.Sprintf("stock%d%d", number, at), "catalogo", number, latency)
+			fl.startUpstream(fmt.Sprintf("cutter%d%d", number, at), "corte", number, latency)
+		}
+	}
+	fl.eventually(20*time.Second, "three daemons are alive", func() bool {
+		return strings.Count(fl.ctlOut("status", "--output", "json"), `"Program": "cactusd"`) == 3
+	})
+	fl.applyExample()
+	fl.ctl("claims", "assign", "--reason", "story", "--wait")
+	fl.eventually(20*time.Second, "all upstreams are ready", func() bool {
+		return strings.Count(fl.ctlOut("upstreams", "--output", "json"), `"State": "ready"`) == 6*count
+	})
+	fl.eventually(20*time.Second, "claim holders vote", func() bool {
+		return fl.call(caller.Config{Method: "POST", Path: "/corte/order", Count: 3, Keys: true}).Good == 3
+	})
+	return fl
+}
+
+// applyExample applies the example settings of Quillota, with floors for small pools.
+func (fl *fleet) applyExample() {
+	fl.t.Helper()
+	data, err := os.ReadFile("../../../examples/quillota.ini")
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	lines := strings.Split(string(data), "\n")
+	for i, line := range lines {
+		if strings.HasPrefix(line, "floorEndpoints") {
+			lines[i] = "floorEndpoints = 2"
+		}
+	}
+	path := fl.path("quillota.ini")
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		fl.t.Fatal(err)
+	}
+	fl.ctl("settings", "apply", path, "--reason", "story", "--wait")
+}
+
+func (fl *fleet) path(name string) string { return filepath.Join(fl.dir, name) }
+
+func (fl *fleet) keeperIP(number int) string { return fmt.Sprintf("127.%d.1.%d", fl.net, number) }
+
+func (fl *fleet) daemonIP(number int) string { return fmt.Sprintf("127.%d.2.%d", fl.net, number) }
+
+func (fl *fleet) keeperAddresses(port int) string {
+	var list []string
+	for number := 1; number <= fl.keepers; number++ {
+		list = append(list, fmt.Sprintf("%s:%d", fl.keeperIP(number), port))
+	}
+	return strings.Join(list, ",")
+}
+
+func (fl *fleet) callers() []string {
+	var list []string
+	for number := 1; number <= 3; number++ {
+		list = append(list, fl.daemonIP(number)+":8080")
+	}
+	return list
+}
+
+func (fl *fleet) write(name, text string) {
+	fl.t.Helper()
+	if err := os.WriteFile(fl.path(name), []byte(text), 0o600); err != nil {
+		fl.t.Fatal(err)
+	}
+}
+
+func (fl *fleet) configureKeeper(number int) {
+	var initial []string
+	for other := 1; other <= fl.keepers; other++ {
+		initial = append(initial, fmt.Sprintf("k%d %s:7000 %s:7001", other, fl.keeperIP(other), fl.keeperIP(other)))
+	}
+	fl.write(fmt.Sprintf("k%d.ini", number), fmt.Sprintf(`[process]
+id = k%d
+zone = zone-%d
+[listen]
+peers = %s:7000
+operators = %s:7001
+[credentials]
+fleetTokens = %s
+operatorTokens = %s
+[keeper]
+dataFolder = %s
+signingKey = %s
+initial = %s
+`, number, number, fl.keeperIP(number), fl.keeperIP(number), fl.path("keys/fleet.token"), fl.path("keys/operator.token"),
+		fl.path(fmt.Sprintf("k%d", number)), fl.path("keys/signing.key"), strings.Join(initial, ", ")))
+}
+
+func (fl *fleet) startKeeper(number int) {
+	fl.t.Helper()
+	name := fmt.Sprintf("k%d", number)
+	fl.start(name, "cactuskeeper", "run", "--config", fl.path(name+".ini"))
+}
+
+func (fl *fleet) startDaemon(number int) {
+	fl.t.Helper()
+	name, ip := fmt.Sprintf("d%d", number), fl.daemonIP(number)
+	fl.write(name+".ini", fmt.Sprintf(`[process]
+id = %s
+zone = zone-%d
+firm = quillota
+place = cl-centro
+[listen]
+callers = %s:8080
+peers = %s:7100
+operators = %s:7101
+[fleet]
+keepers = %s
+seeds = %s:7100,%s:7100
+[claims]
+clockSkew = 1s
+[credentials]
+fleetTokens = %s
+operatorTokens = %s
+serviceTokens = %s
+upstreamTokens = %s
+settingsKeys = %s
+`, name, number, ip, ip, ip, fl.keeperAddresses(7000), fl.daemonIP(1), fl.daemonIP(2), fl.path("keys/fleet.token"), fl.path("keys/operator.token"),
+		fl.path("keys/service.token"), fl.path("keys/upstream.token"), fl.path("keys/signing.pub")))
+	fl.start(name, "cactusd", "run", "--config", fl.path(name+".ini"))
+}
+
+func (fl *fleet) startUpstream(id, service string, daemon int, latency time.Duration) {
+	fl.t.Helper()
+	fl.ports++
+	ip := fl.daemonIP(daemon)
+	control := fmt.Sprintf("%s:%d", ip, 10000+fl.ports)
+	fl.ups[id] = &standIn{id: id, control: control}
+	fl.start(id, "standin", "upstream", "--id", id, "--service", service, "--address", fmt.Sprintf("%s:%d", ip, 9000+fl.ports),
+		"--control", control, "--daemon", ip+":7101", "--token-file", fl.path("keys/upstream.token"), "--latency", latency.String())
+}
+
+// start starts a program, or starts it again with the same arguments.
+func (fl *fleet) start(name, program string, args ...string) {
+	fl.t.Helper()
+	log, err := os.OpenFile(fl.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(fl.bin, program), args...)
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		fl.t.Fatal(err)
+	}
+	pr := &proc{name: name, args: append([]string{program}, args...), cmd: cmd, done: make(chan struct{})}
+	fl.procs[name] = pr
+	go func() {
+		pr.err = cmd.Wait()
+		_ = log.Close()
+		close(pr.done)
+	}()
+}
+
+func (fl *fleet) restart(name string) {
+	fl.t.Helper()
+	args := fl.procs[name].args
+	fl.start(name, args[0], args[1:]...)
+}
+
+func (fl *fleet) signal(name string, sig syscall.Signal) {
+	fl.t.Helper()
+	if err := fl.procs[name].cmd.Process.Signal(sig); err != nil {
+		fl.t.Fatalf("signal %s: %v", name, err)
+	}
+}
+
+// kill ends a process at once, as a VM that fails.
+func (fl *fleet) kill(name string) {
+	fl.t.Helper()
+	fl.signal(name, syscall.SIGKILL)
+	<-fl.procs[name].done
+}
+
+// stop tells a process to stop and checks that it exits with 0 in a bounded time.
+func (fl *fleet) stop(name string) {
+	fl.t.Helper()
+	fl.signal(name, syscall.SIGTERM)
+	select {
+	case <-fl.procs[name].done:
+	case <-time.After(25 * time.Second):
+		fl.t.Fatalf("%s does not stop", name)
+	}
+	if err := fl.procs[name].err; err != nil {
+		fl.t.Fatalf("%s: %v", name, err)
+	}
+}
+
+func (fl *fleet) killAll() {
+	for _, pr := range fl.procs {
+		_ = pr.cmd.Process.Signal(syscall.SIGCONT)
+		_ = pr.cmd.Process.Kill()
+		<-pr.done
+	}
+	if fl.t.Failed() {
+		for _, name := range []string{"d1", "k1"} {
+			data, _ := os.ReadFile(fl.path(name + ".log"))
+			fl.t.Logf("%s:\n%s", name, data[max(0, len(data)-3000):])
+		}
+	}
+}
+
+// run runs a program to its end and returns its output.
+func (fl *fleet) run(program string, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(fl.bin, program), args...)
+	cmd.Env = append(os.Environ(),
+		"CACTUS_KEEPERS="+fl.keeperAddresses(7001),
+		"CACTUS_DAEMONS="+fl.daemonIP(1)+":7101,"+fl.daemonIP(2)+":7101",
+		"CACTUS_TOKEN_FILE="+fl.path("keys/operator.token"))
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	return out.String(), err
+}
+
+func (fl *fleet) must(program string, args ...string) string {
+	fl.t.Helper()
+	out, err := fl.run(program, args...)
+	if err != nil {
+		fl.t.Fatalf("%s %s: %v\n%s", program, strings.Join(args, " "), err, out)
+	}
+	return out
+}
+
+func (fl *fleet) ctl(args ...string) string {
+	fl.t.Helper()
+	return fl.must("cactusctl", args...)
+}
+
+func (fl *fleet) ctlOut(args ...string) string {
+	out, _ := fl.run("cactusctl", args...)
+	return out
+}
+
+func exitCode(err error) int {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return 0
+}
+
+func (fl *fleet) eventually(limit time.Duration, what string, holds func() bool) time.Duration {
+	fl.t.Helper()
+	started := time.Now()
+	for !holds() {
+		if time.Since(started) > limit {
+			fl.t.Fatalf("after %s it still does not hold that %s", limit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// call sends requests to all daemons unless the config names targets.
+func (fl *fleet) call(cfg caller.Config) caller.Report {
+	fl.t.Helper()
+	if cfg.Targets == nil {
+		cfg.Targets = fl.callers()
+	}
+	if cfg.Method == "" {
+		cfg.Method = http.MethodGet
+	}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = 15 * time.Second
+	}
+	rep, err := caller.Run(context.Background(), cfg)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	return rep
+}
+
+func (fl *fleet) fault(id string, fault upstream.Fault) {
+	fl.t.Helper()
+	data, err := json.Marshal(fault)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+fl.ups[id].control+"/fault", "application/json", bytes.NewReader(data))
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// runsByKey returns how often each key ran, over all upstreams that live.
+func (fl *fleet) runsByKey() (map[string]int, upstream.Counts) {
+	fl.t.Helper()
+	runs := make(map[string]int)
+	var all upstream.Counts
+	for _, up := range fl.ups {
+		resp, err := http.Get("http://" + up.control + "/counts?keys=1")
+		if err != nil {
+			continue
+		}
+		var counts upstream.Counts
+		err = json.NewDecoder(resp.Body).Decode(&counts)
+		_ = resp.Body.Close()
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		for key, times := range counts.ByKey {
+			runs[key] += times
+		}
+		all.Runs += counts.Runs
+		all.OverSlots += counts.OverSlots
+		all.AfterLeave += counts.AfterLeave
+	}
+	return runs, all
+}
+
+// checkRuns checks that no key ran twice and that every notRun was true.
+func (fl *fleet) checkRuns(reports ...caller.Report) {
+	fl.t.Helper()
+	runs, all := fl.runsByKey()
+	for key, times := range runs {
+		if times > 1 {
+			fl.t.Errorf("%s ran %d times", key, times)
+		}
+	}
+	for _, rep := range reports {
+		for _, key := range rep.NotRunKeys {
+			if runs[key] > 0 {
+				fl.t.Errorf("%s was said not to have run, and ran", key)
+			}
+		}
+		if rep.WrongAnswers > 0 {
+			fl.t.Errorf("%d wrong answers", rep.WrongAnswers)
+		}
+	}
+	if all.OverSlots > 0 {
+		fl.t.Errorf("an upstream ran more than its slots, %d times", all.OverSlots)
+	}
+}
+
+func isListening(address string) bool {
+	con, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = con.Close()
+	return true
+}
