--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,6 @@
 # themselves, printed, and passed over.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-export CACTUS_BIN=$PWD/bin
 # A line of KNOWN-RED.txt that begins with "test:" names module, package and
 # test, as: test: cactusd ./internal/story TestRollingRestart
 red=$(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
--- a/standin/internal/story/fleet_test.go
+++ b/standin/internal/story/fleet_test.go
@@ -1,6 +1,5 @@
-// Package story_test tells failure stories with the real programs on loopback.
-// The programs are those of the folder that CACTUS_BIN names; `make test` builds
-// them first.
+// Package story_test tells failure stories with the real programs on loopback,
+// which `make test` builds into bin first.
 package story_test
 
 import (
@@ -56,9 +55,12 @@
 
 func newFleet(t *testing.T, keepers int) *fleet {
 	t.Helper()
-	bin := os.Getenv("CACTUS_BIN")
-	if bin == "" {
-		t.Skip("CACTUS_BIN names no folder; run `make test`")
+	bin, err := filepath.Abs("../../../bin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(filepath.Join(bin, "cactusd")); err != nil {
+		t.Fatalf("the programs are not built; run `make build`: %v", err)
 	}
 	nets.Lock()
 	nets.next++
