--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -273,9 +273,7 @@
 	case 6:
 		le.restart(id)
 	case 7:
-		if le.rng.IntN(4) == 0 {
-			le.changeTable()
-		}
+		le.changeTable()
 	case 8:
 		le.move(id, le.tables[le.rng.IntN(len(le.tables))])
 	case 9:
--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -168,3 +168,30 @@
 	is.Equal(si.nodes["k4"].node.Applied(), leader.node.Applied())
 	is.True(len(si.nodes["k4"].disk.Snapshot.Data) > 16) // It came in several pieces.
 }
+
+// TestEntryOfAnOlderTermIsNotCommittedByCounting is the case of figure 8 of the
+// Raft paper: an entry of an older term that a majority stores may still be
+// replaced, so it is committed only together with one of the leader's own term.
+func TestEntryOfAnOlderTermIsNotCommittedByCounting(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	config := consensus.Config{Members: []consensus.Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}}
+	old := consensus.Entry{Index: 1, Term: 1, Kind: consensus.EntryCommand, Data: []byte("old")}
+	node, err := consensus.NewNode("a", consensus.State{
+		HardState: consensus.HardState{Term: 2}, Snapshot: consensus.Snapshot{Config: config}, Entries: []consensus.Entry{old},
+	}, consensus.DefaultOptions(), now)
+	is.NoErr(err)
+	flush := func() { node.Persisted(node.Ready()) }
+	now = now.Add(2 * time.Second)
+	node.Tick(now)
+	flush()
+	node.Step(now, consensus.Message{Kind: consensus.MessagePreVoteAnswer, From: "b", To: "a", Term: 3})
+	flush()
+	node.Step(now, consensus.Message{Kind: consensus.MessageVoteAnswer, From: "b", To: "a", Term: 3})
+	flush()
+	is.Equal(node.Role(), consensus.RoleLeader)
+	node.Step(now, consensus.Message{Kind: consensus.MessageAppendAnswer, From: "b", To: "a", Term: 3, Match: 1})
+	is.Equal(node.Commit(), uint64(0))
+	node.Step(now, consensus.Message{Kind: consensus.MessageAppendAnswer, From: "b", To: "a", Term: 3, Match: 2})
+	is.Equal(node.Commit(), uint64(2))
+}
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -30,7 +30,9 @@
 	cut    map[[2]string]bool
 	loss   float64
 	frozen map[string]bool
-	sent   int
+	// noSeeds keeps daemons from asking a seed when they compare tables.
+	noSeeds bool
+	sent    int
 	// bytes counts the encoded size of what is sent, when weigh is set.
 	bytes int
 	weigh bool
@@ -120,7 +122,11 @@
 		return
 	}
 	node.syncAt = wo.now.Add(5*time.Second + time.Duration(wo.rng.Int64N(int64(10*time.Second))))
-	for _, to := range []string{node.table.PickPeer(), node.table.PickGone(), wo.order[0]} {
+	targets := []string{node.table.PickPeer(), node.table.PickGone()}
+	if !wo.noSeeds {
+		targets = append(targets, wo.order[0])
+	}
+	for _, to := range targets {
 		peer := wo.nodes[to]
 		if peer == nil || to == id || wo.frozen[to] || wo.cut[[2]string{id, to}] || wo.cut[[2]string{to, id}] {
 			continue
@@ -198,14 +204,14 @@
 	}
 }
 
-// TestLossDoesNotKill drops a tenth of all datagrams.
+// TestLossDoesNotKill drops three tenths of all datagrams.
 func TestLossDoesNotKill(t *testing.T) {
 	is := is.New(t)
 	wo := newFleet(4, 30, 1)
 	for _, node := range wo.nodes {
 		node.table.TakeChanges()
 	}
-	wo.loss = 0.1
+	wo.loss = 0.3
 	wo.run(2 * time.Minute)
 	for _, node := range wo.nodes {
 		for _, change := range node.table.TakeChanges() {
@@ -217,15 +223,17 @@
 func TestFrozenDaemonIsFoundAndWakes(t *testing.T) {
 	is := is.New(t)
 	wo := newFleet(5, 15, 1)
+	pinged := func(ma worldMail) bool { return ma.from == "d004" && ma.msg.Kind == member.Ping }
+	for !slices.ContainsFunc(wo.mail, pinged) {
+		wo.run(worldTick) // It freezes while it waits for an answer.
+	}
 	wo.frozen["d004"] = true
 	wo.run(15 * time.Second)
 	is.Equal(wo.statusOf("d001", "d004"), member.Dead)
 	wo.frozen["d004"] = false
 	wo.nodes["d004"].table.TakeChanges()
 	wo.run(30 * time.Second)
-	for _, change := range wo.nodes["d004"].table.TakeChanges() {
-		is.True(change.To != member.Dead) // It blames nobody for its own freeze.
-	}
+	is.Equal(len(wo.nodes["d004"].table.TakeChanges()), 0) // It blames nobody for its own freeze.
 	wo.allAlive(t)
 }
 
@@ -242,6 +250,7 @@
 	wo.run(time.Minute)
 	is.Equal(wo.statusOf("d001", "d012"), member.Dead)
 	clear(wo.cut)
+	wo.noSeeds = true
 	wo.run(90 * time.Second)
 	wo.allAlive(t)
 	for _, id := range wo.order {
@@ -251,7 +260,7 @@
 
 func TestLeavingIsKnownWithinTwoSeconds(t *testing.T) {
 	is := is.New(t)
-	wo := newFleet(7, 40, 1)
+	wo := newFleet(7, 150, 1)
 	leaver := wo.nodes["d011"]
 	wo.post("d011", leaver.table.Leave(wo.now))
 	wo.run(2 * time.Second)
--- a/core/wal/wal_test.go
+++ b/core/wal/wal_test.go
@@ -16,13 +16,15 @@
 
 var errDisk = errors.New("no space left")
 
-// faultyDisk fails at a chosen call, and afterwards, as a full or dying disk does.
+// faultyDisk fails at a chosen call, and afterwards, as a dying disk does.
 type faultyDisk struct {
 	wal.Folder
 	calls  int
 	failAt int
 	// torn makes the failing write leave half of its bytes.
 	torn bool
+	// once lets later calls succeed, as when room is made on a full disk.
+	once bool
 }
 
 type faultyFile struct {
@@ -32,7 +34,7 @@
 
 func (fa *faultyDisk) fails() bool {
 	fa.calls++
-	return fa.failAt > 0 && fa.calls >= fa.failAt
+	return fa.calls == fa.failAt || fa.failAt > 0 && fa.calls > fa.failAt && !fa.once
 }
 
 func (fa *faultyDisk) Append(name string) (wal.File, error) {
@@ -60,7 +62,8 @@
 func (fa *faultyFile) Write(data []byte) (int, error) {
 	if fa.disk.fails() {
 		if fa.disk.torn && fa.disk.calls == fa.disk.failAt {
-			return fa.File.Write(data[:len(data)/2])
+			count, _ := fa.File.Write(data[:len(data)/2])
+			return count, errDisk
 		}
 		return 0, errDisk
 	}
@@ -142,9 +145,9 @@
 // appends and of snapshots. Whatever was acknowledged is there afterwards.
 func TestCrashAtEveryWrite(t *testing.T) {
 	for _, torn := range []bool{false, true} {
-		for failAt := 1; failAt < 80; failAt++ {
+		for failAt := 2; failAt < 160; failAt++ {
 			dir := t.TempDir()
-			disk := &faultyDisk{Folder: wal.Folder(dir), failAt: failAt, torn: torn}
+			disk := &faultyDisk{Folder: wal.Folder(dir), failAt: failAt / 2, torn: torn, once: failAt%2 == 1}
 			acked := runUntilFailure(disk)
 			_, state, err := wal.Open(wal.Folder(dir))
 			if err != nil {
@@ -206,8 +209,11 @@
 		t.Fatal(err)
 	}
 	is := is.New(t)
-	_, state := open(t, wal.Folder(dir))
+	log, state := open(t, wal.Folder(dir))
 	is.Equal(len(state.Entries), 10)
+	is.NoErr(log.Append(nil, entries(11, 11)))
+	_, state = open(t, wal.Folder(dir))
+	is.Equal(len(state.Entries), 11) // What comes after it can be read.
 }
 
 // TestEveryFlippedBitIsFound flips one bit of each byte of the log in turn.
