--- a/cactusd/internal/claims/claims.go
+++ b/cactusd/internal/claims/claims.go
@@ -49,9 +49,9 @@
 	Keepers []string
 	Log     *events.Logger
 	Mux     *link.Mux
-	Pool   *link.Pool
-	Self   string
-	Limits claim.Options
+	Pool    *link.Pool
+	Self    string
+	Limits  claim.Options
 	// Address returns the peer address of a daemon, or "".
 	Address func(id string) string
 }
@@ -77,7 +77,7 @@
 type entriesAnswer struct {
 	// Moved says that the holder has left the tables before the epoch and knows
 	// the claims that it should.
-	Moved bool `codec:"m"`
+	Moved bool   `codec:"m"`
 	Epoch uint64 `codec:"p"`
 	// Since is the time up to which the holder may have forgotten claims.
 	Since   time.Time     `codec:"s"`
--- /dev/null
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -0,0 +1,298 @@
+package ingress_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"cactusstream.example/cactusd/internal/fleet"
+	"cactusstream.example/cactusd/internal/ingress"
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/auth"
+	"cactusstream.example/core/claim"
+	"cactusstream.example/core/clock"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/link"
+	"cactusstream.example/core/member"
+	"cactusstream.example/core/metrics"
+	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/settings"
+	"cactusstream.example/core/spread"
+)
+
+// fakeRunner answers attempts in turn, and notes where they went.
+type fakeRunner struct {
+	mu      sync.Mutex
+	answers []func() (wire.RunAnswer, error)
+	went    []string
+}
+
+func (fa *fakeRunner) Run(_ context.Context, end fleet.Endpoint, _ wire.RunRequest) (wire.RunAnswer, error) {
+	fa.mu.Lock()
+	defer fa.mu.Unlock()
+	at := min(len(fa.went), len(fa.answers)-1)
+	fa.went = append(fa.went, end.Key)
+	return fa.answers[at]()
+}
+
+// fakeClaims gives the same result to every claim.
+type fakeClaims struct {
+	grant      claim.Grant
+	releasable bool
+	mu         sync.Mutex
+	recorded   int
+	released   int
+}
+
+func (fa *fakeClaims) Acquire(context.Context, string, string) claim.Grant { return fa.grant }
+
+func (fa *fakeClaims) Record(claim.Grant, *claim.Record) { fa.recorded++ }
+
+func (fa *fakeClaims) Release(claim.Grant) bool {
+	fa.mu.Lock()
+	defer fa.mu.Unlock()
+	fa.released++
+	return fa.releasable
+}
+
+func ran(status int) func() (wire.RunAnswer, error) {
+	return func() (wire.RunAnswer, error) {
+		return wire.RunAnswer{Outcome: outcome.Ran, Status: status, Header: wire.Header{}, Body: []byte("whole")}, nil
+	}
+}
+
+func refused(reason outcome.Reason) func() (wire.RunAnswer, error) {
+	return func() (wire.RunAnswer, error) { return wire.NotRun(reason, "no"), nil }
+}
+
+func unknown() (wire.RunAnswer, error) { return wire.Unknown(outcome.UpstreamFailed, "cut"), nil }
+
+func lost(err error) func() (wire.RunAnswer, error) {
+	return func() (wire.RunAnswer, error) { return wire.RunAnswer{}, err }
+}
+
+type fixture struct {
+	runner *fakeRunner
+	claims *fakeClaims
+	in     *ingress.Ingress
+}
+
+func newFixture(t testing.TB, answers ...func() (wire.RunAnswer, error)) *fixture {
+	t.Helper()
+	tree := settings.NewTree().Apply([]settings.Edit{
+		{Path: "*/*/s/look", Key: "path", Value: "/look"},
+		{Path: "*/*/s/look", Key: "idempotent", Value: "true"},
+		{Path: "*/*/s/price", Key: "path", Value: "/price"},
+		{Path: "*/*/s/price", Key: "internal", Value: "true"},
+		{Path: "*/*/s/price", Key: "idempotent", Value: "true"},
+		{Path: "*/*/s/cut", Key: "path", Value: "/cut"},
+		{Path: "*/*/s/cut", Key: "method", Value: "POST"},
+		{Path: "*/*/s/cut", Key: "bodyLimit", Value: "100"},
+	})
+	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	hol := spread.NewHolder(func() []ed25519.PublicKey { return []ed25519.PublicKey{key.Public().(ed25519.PublicKey)} })
+	if _, err := hol.Apply(spread.Update{Version: 1, Digest: tree.Digest(), Signature: spread.Sign(key, 1, tree.Digest()), Tree: tree.Nodes}); err != nil {
+		t.Fatal(err)
+	}
+	tokenFile := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(tokenFile, []byte("a-token-of-our-services"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tokens, err := auth.OpenTokens(tokenFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := &fleet.Pool{Name: "s"}
+	for number := range 4 {
+		pool.Endpoints = append(pool.Endpoints, fleet.Endpoint{
+			Key: fmt.Sprintf("d%d/u", number), Daemon: fmt.Sprintf("d%d", number), State: fleet.StateReady,
+			Upstream: member.Upstream{ID: "u", Service: "s", Slots: 5},
+		})
+	}
+	view := &fleet.View{Pools: map[string]*fleet.Pool{"s": pool}}
+	fi := &fixture{runner: &fakeRunner{answers: answers}, claims: &fakeClaims{grant: claim.Grant{Result: claim.Won}, releasable: true}}
+	fi.in = ingress.New(ingress.Options{
+		Claims: fi.claims, Clock: clock.Real{}, Firm: "f", Place: "p", Holder: hol, Log: events.Discard(), Metrics: metrics.NewRegistry(),
+		Runner: fi.runner, Services: tokens, View: func() *fleet.View { return view }, Zone: "z",
+	})
+	return fi
+}
+
+func (fi *fixture) send(method, path, key, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
+		req.Header.Set(outcome.HeaderKey, key)
+	}
+	rec := httptest.NewRecorder()
+	fi.in.ServeHTTP(rec, req)
+	return rec
+}
+
+// TestAttempts says for every way in which a first attempt can end whether
+// another one is made, and what the caller is told.
+func TestAttempts(t *testing.T) {
+	notSent := fmt.Errorf("dial: %w", link.ErrNotSent)
+	gone := fmt.Errorf("read: %w", link.ErrLost)
+	cases := []struct {
+		name        string
+		first       func() (wire.RunAnswer, error)
+		idempotent  int // Attempts in all, when the second would succeed.
+		once        int
+		onceOutcome outcome.Outcome
+	}{
+		{"whole answer", ran(200), 1, 1, outcome.Ran},
+		{"client error is an answer", ran(404), 1, 1, outcome.Ran},
+		{"server error", ran(500), 2, 1, outcome.Ran},
+		{"gate refuses: leaving", refused(outcome.Stopping), 2, 2, outcome.Ran},
+		{"gate refuses: overloaded", refused(outcome.Overloaded), 2, 2, outcome.Ran},
+		{"upstream sheds with proof", refused(outcome.Shed), 2, 2, outcome.Ran},
+		{"upstream cut", unknown, 2, 1, outcome.Unknown},
+		{"link not sent", lost(notSent), 2, 2, outcome.Ran},
+		{"link lost after sending", lost(gone), 2, 1, outcome.Unknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			fi := newFixture(t, tc.first, ran(200))
+			is.Equal(fi.send("GET", "/look", "", "").Header().Get(outcome.HeaderOutcome), "ran")
+			is.Equal(len(fi.runner.went), tc.idempotent)
+			fi = newFixture(t, tc.first, ran(200))
+			rec := fi.send("POST", "/cut", uuid.Must(uuid.NewV7()).String(), "x")
+			is.Equal(rec.Header().Get(outcome.HeaderOutcome), string(tc.onceOutcome))
+			is.Equal(len(fi.runner.went), tc.once)
+			if len(fi.runner.went) == 2 {
+				is.True(fi.runner.went[0] != fi.runner.went[1]) // Another upstream.
+			}
+		})
+	}
+}
+
+func TestMayHaveRunIsNeverCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t, unknown, refused(outcome.Stopping))
+	rec := fi.send("GET", "/look", "", "")
+	is.Equal(rec.Header().Get(outcome.HeaderOutcome), "unknown")
+}
+
+// TestClaims says what a caller is told for every result of a claim.
+func TestClaims(t *testing.T) {
+	cases := []struct {
+		name    string
+		grant   claim.Grant
+		keyed   outcome.Outcome
+		keyless outcome.Outcome
+		runs    int
+	}{
+		{"won", claim.Grant{Result: claim.Won}, outcome.Ran, outcome.Ran, 1},
+		{"another runs", claim.Grant{Result: claim.LostRunning}, outcome.Unknown, outcome.Unknown, 0},
+		{"another ran", claim.Grant{Result: claim.LostFinished, Record: &claim.Record{Status: 201, Whole: true, Body: []byte("first")}}, outcome.Ran, outcome.Ran, 0},
+		{"another ran, answer not kept", claim.Grant{Result: claim.LostFinished, Record: &claim.Record{Status: 201}}, outcome.Unknown, outcome.Unknown, 0},
+		{"closed", claim.Grant{Result: claim.LostClosed}, outcome.NotRun, outcome.NotRun, 0},
+		{"too old", claim.Grant{Result: claim.LostTooOld}, outcome.Unknown, outcome.Unknown, 0},
+		{"no quorum", claim.Grant{Result: claim.LostNoQuorum}, outcome.Unknown, outcome.NotRun, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			fi := newFixture(t, ran(200))
+			fi.claims.grant = tc.grant
+			rec := fi.send("POST", "/cut", uuid.Must(uuid.NewV7()).String(), "x")
+			is.Equal(rec.Header().Get(outcome.HeaderOutcome), string(tc.keyed))
+			is.Equal(len(fi.runner.went), tc.runs)
+			is.Equal(fi.claims.recorded, tc.runs)
+			rec = fi.send("POST", "/cut", "", "x")
+			is.Equal(rec.Header().Get(outcome.HeaderOutcome), string(tc.keyless))
+		})
+	}
+}
+
+func TestRefusalOfAKeyNeedsItsRelease(t *testing.T) {
+	is := is.New(t)
+	key := uuid.Must(uuid.NewV7()).String()
+	fi := newFixture(t, refused(outcome.Stopping))
+	is.Equal(fi.send("POST", "/cut", key, "x").Header().Get(outcome.HeaderOutcome), "notRun")
+	is.Equal(fi.claims.released, 1)
+	fi.claims.releasable = false
+	is.Equal(fi.send("POST", "/cut", key, "x").Header().Get(outcome.HeaderOutcome), "unknown")
+}
+
+// TestBadInput sends what a caller may get wrong.
+func TestBadInput(t *testing.T) {
+	good := uuid.Must(uuid.NewV7()).String()
+	cases := []struct {
+		name, method, path, key, body string
+		status                        int
+		known                         outcome.Outcome
+	}{
+		{"no route", "GET", "/nowhere", "", "", http.StatusNotFound, outcome.NotRun},
+		{"no route, own key", "POST", "/nowhere", good, "", http.StatusNotFound, outcome.Unknown},
+		{"wrong method", "POST", "/look", "", "", http.StatusNotFound, outcome.NotRun},
+		{"bad key", "POST", "/cut", "order-7", "", http.StatusBadRequest, outcome.NotRun},
+		{"body too large", "POST", "/cut", "", strings.Repeat("x", 101), http.StatusRequestEntityTooLarge, outcome.NotRun},
+		{"body too large, own key", "POST", "/cut", good, strings.Repeat("x", 101), http.StatusRequestEntityTooLarge, outcome.Unknown},
+		{"internal without credential", "GET", "/price", "", "", http.StatusUnauthorized, outcome.NotRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			fi := newFixture(t, ran(200))
+			rec := fi.send(tc.method, tc.path, tc.key, tc.body)
+			is.Equal(rec.Code, tc.status)
+			is.Equal(rec.Header().Get(outcome.HeaderOutcome), string(tc.known))
+			is.Equal(len(fi.runner.went), 0)
+		})
+	}
+}
+
+func TestRetriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t, ran(500))
+	const requests = 2000
+	for range requests {
+		fi.send("GET", "/look", "", "")
+	}
+	amplification := float64(len(fi.runner.went)) / requests
+	t.Logf("%.3f attempts a request", amplification)
+	is.True(amplification <= 1.11) // A tenth, and the ten that a full budget starts with.
+}
+
+func TestFloodIsRefusedEarly(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t, refused(outcome.Overloaded))
+	const requests = 2000
+	for range requests {
+		fi.send("GET", "/look", "", "")
+	}
+	is.True(len(fi.runner.went) < requests/4) // Most never reach a gate.
+}
+
+func TestUnreachableDaemonIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t, lost(fmt.Errorf("dial: %w", link.ErrNotSent)), ran(200))
+	fi.send("GET", "/look", "", "")
+	bad := fi.runner.went[0]
+	for range 100 {
+		fi.send("GET", "/look", "", "")
+	}
+	for _, key := range fi.runner.went[1:] {
+		is.True(key != bad)
+	}
+}
+
+func BenchmarkServe(b *testing.B) {
+	fi := newFixture(b, ran(200))
+	b.ReportAllocs()
+	for b.Loop() {
+		fi.send("GET", "/look", "", "")
+	}
+}
--- /dev/null
+++ b/core/auth/auth_test.go
@@ -0,0 +1,235 @@
+package auth_test
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactusstream.example/core/auth"
+)
+
+const (
+	oldToken = "the-old-token-of-the-fleet"
+	newToken = "the-new-token-of-the-fleet"
+	// reload is longer than files stay unread.
+	reload = 1100 * time.Millisecond
+)
+
+func write(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func withToken(token string) *http.Request {
+	req := httptest.NewRequest(http.MethodGet, "/", nil)
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	return req
+}
+
+// TestTokenIsReplacedWithoutARestart walks through the three steps of the
+// operators' page; at each one processes of the step before are accepted.
+func TestTokenIsReplacedWithoutARestart(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "token")
+	write(t, path, []byte(oldToken))
+	tokens, err := auth.OpenTokens(path)
+	is.NoErr(err)
+	sealed := tokens.Seal([]byte("news"))
+	steps := []struct {
+		file           string
+		sends          string
+		oldOK, newOK   bool
+		oldSealIsKnown bool
+	}{
+		{oldToken + "\n" + newToken, oldToken, true, true, true},
+		{newToken + "\n" + oldToken, newToken, true, true, true},
+		{newToken, newToken, false, true, false},
+	}
+	for _, step := range steps {
+		write(t, path, []byte(step.file))
+		time.Sleep(reload)
+		is.Equal(tokens.Accepts(withToken(oldToken)), step.oldOK)
+		is.Equal(tokens.Accepts(withToken(newToken)), step.newOK)
+		header := http.Header{}
+		tokens.Sign(header)
+		is.Equal(header.Get("Authorization"), "Bearer "+step.sends)
+		_, err := tokens.Open(sealed)
+		is.Equal(err == nil, step.oldSealIsKnown)
+	}
+	write(t, path, []byte("short")) // A file that is no good changes nothing.
+	time.Sleep(reload)
+	is.True(tokens.Accepts(withToken(newToken)))
+	is.True(!tokens.Accepts(withToken("")))
+	is.True(!tokens.Accepts(withToken("short")))
+}
+
+func TestChangedDatagramIsRefused(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "token")
+	write(t, path, []byte(oldToken))
+	tokens, err := auth.OpenTokens(path)
+	is.NoErr(err)
+	sealed := tokens.Seal([]byte("news"))
+	for at := range sealed {
+		changed := bytes.Clone(sealed)
+		changed[at] ^= 1
+		_, err := tokens.Open(changed)
+		is.True(err != nil)
+	}
+	_, err = tokens.Open([]byte("x"))
+	is.True(err != nil)
+}
+
+// authority makes certificates.
+type authority struct {
+	t    *testing.T
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	au := &authority{t: t, key: key}
+	au.cert = au.sign(&x509.Certificate{IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, Subject: pkix.Name{CommonName: "fleet"}}, &key.PublicKey)
+	return au
+}
+
+func (au *authority) sign(template *x509.Certificate, public *ecdsa.PublicKey) *x509.Certificate {
+	au.t.Helper()
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		au.t.Fatal(err)
+	}
+	template.SerialNumber = serial
+	template.NotBefore, template.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	parent := au.cert
+	if parent == nil {
+		parent = template
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, public, au.key)
+	if err != nil {
+		au.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		au.t.Fatal(err)
+	}
+	return cert
+}
+
+func pemOf(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+// issue writes a certificate and key into a folder.
+func (au *authority) issue(dir string) {
+	au.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		au.t.Fatal(err)
+	}
+	cert := au.sign(&x509.Certificate{Subject: pkix.Name{CommonName: "process"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}, &key.PublicKey)
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		au.t.Fatal(err)
+	}
+	write(au.t, filepath.Join(dir, "cert.pem"), pemOf("CERTIFICATE", cert.Raw))
+	write(au.t, filepath.Join(dir, "key.pem"), pemOf("EC PRIVATE KEY", der))
+}
+
+func openTLS(t *testing.T, dir string) *auth.TLS {
+	t.Helper()
+	files, err := auth.OpenTLS(filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "authority.pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+// handshake dials a server with TLS and says whether both sides agreed.
+func handshake(t *testing.T, server, client *tls.Config) bool {
+	t.Helper()
+	lis, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	go func() {
+		if con, err := lis.Accept(); err == nil {
+			_, _ = con.Write([]byte("hello"))
+			_ = con.Close()
+		}
+	}()
+	con, err := tls.Dial("tcp", lis.Addr().String(), client)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = con.Close() }()
+	data, _ := io.ReadAll(con)
+	return string(data) == "hello"
+}
+
+// TestCertificatesAreReplacedOneProcessAfterAnother moves two processes from an
+// old authority to a new one; they understand each other at every step.
+func TestCertificatesAreReplacedOneProcessAfterAnother(t *testing.T) {
+	is := is.New(t)
+	former, next := newAuthority(t), newAuthority(t)
+	formerPEM, nextPEM := pemOf("CERTIFICATE", former.cert.Raw), pemOf("CERTIFICATE", next.cert.Raw)
+	var dirs []string
+	var procs []*auth.TLS
+	for range 2 {
+		dir := t.TempDir()
+		former.issue(dir)
+		write(t, filepath.Join(dir, "authority.pem"), formerPEM)
+		dirs = append(dirs, dir)
+		procs = append(procs, openTLS(t, dir))
+	}
+	agree := func() bool {
+		return handshake(t, procs[0].Server(true), procs[1].Client()) && handshake(t, procs[1].Server(true), procs[0].Client())
+	}
+	is.True(agree())
+	steps := []func(dir string){
+		func(dir string) {
+			write(t, filepath.Join(dir, "authority.pem"), append(bytes.Clone(formerPEM), nextPEM...))
+		},
+		next.issue,
+		func(dir string) { write(t, filepath.Join(dir, "authority.pem"), nextPEM) },
+	}
+	for _, step := range steps {
+		for _, dir := range dirs {
+			step(dir)
+			time.Sleep(reload)
+			is.True(agree())
+		}
+	}
+	stranger := t.TempDir()
+	former.issue(stranger)
+	write(t, filepath.Join(stranger, "authority.pem"), nextPEM)
+	is.True(!handshake(t, procs[0].Server(true), openTLS(t, stranger).Client())) // The old authority is no longer known.
+	is.True(!handshake(t, procs[0].Server(true), &tls.Config{InsecureSkipVerify: true}))
+	is.True(handshake(t, procs[0].Server(false), &tls.Config{InsecureSkipVerify: true})) // Operators show a token instead.
+}
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -44,8 +44,8 @@
 	number   uint32
 	// keepersAway says that no keeper can be asked.
 	keepersAway bool
-	won      int
-	asked    int
+	won         int
+	asked       int
 }
 
 type ledgerHolder struct {
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -16,7 +16,6 @@
 type server struct {
 	slots []float64 // When each slot is free.
 	speed float64
-	zone  string
 	// Known is what choosers know of its load, refreshed with a delay.
 	known   float64
 	pending []float64 // When each of its requests ends.
--- a/core/settings/resolver_test.go
+++ b/core/settings/resolver_test.go
@@ -44,7 +44,9 @@
 }
 
 func covers(node, path settings.Path) bool {
-	matches := func(name, want string, any bool) bool { return name == "" || name == want || any && name == settings.AnyName }
+	matches := func(name, want string, any bool) bool {
+		return name == "" || name == want || any && name == settings.AnyName
+	}
 	return node.Level() <= path.Level() && matches(node.Firm, path.Firm, true) && matches(node.Place, path.Place, true) &&
 		matches(node.Service, path.Service, false) && matches(node.Kind, path.Kind, false)
 }
--- a/standin/internal/story/fleet_test.go
+++ b/standin/internal/story/fleet_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -422,12 +421,3 @@
 		fl.t.Errorf("an upstream ran more than its slots, %d times", all.OverSlots)
 	}
 }
-
-func isListening(address string) bool {
-	con, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return false
-	}
-	_ = con.Close()
-	return true
-}
--- a/standin/internal/story/measure_test.go
+++ b/standin/internal/story/measure_test.go
@@ -340,24 +340,24 @@
 	}
 	_ = resp.Body.Close()
 	left := time.Now()
-	_, atLeave := fl.countsOf("stock11")
+	atLeave := fl.runsOf("stock11")
 	known := fl.eventually(10*time.Second, "daemon 2 knows", func() bool { return fl.stateOf("stock11") == "draining" || fl.stateOf("stock11") == "" })
 	rep := wait()[0]
-	_, after := fl.countsOf("stock11")
+	after := fl.runsOf("stock11")
 	atMost("leaveTime.known", round(float64(known.Milliseconds()), 0), "ms", targetLeaveMs)
 	atMost("leaveTime.newWorkAfter", float64(after-atLeave), fmt.Sprintf("requests(in %ds)", int(time.Since(left).Seconds())), 0)
 	atMost("leaveTime.failedRequests", float64(rep.Sent-rep.Good), fmt.Sprintf("of%d", rep.Sent), 0)
 }
 
-func (fl *fleet) countsOf(id string) (upstream.Counts, int) {
+func (fl *fleet) runsOf(id string) int {
 	resp, err := http.Get("http://" + fl.ups[id].control + "/counts")
 	if err != nil {
-		return upstream.Counts{}, 0
+		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var counts upstream.Counts
 	_ = json.NewDecoder(resp.Body).Decode(&counts)
-	return counts, counts.Runs
+	return counts.Runs
 }
 
 // measureSettings makes changes and asks every daemon until it has them in
