--- a/core/codec/codec.go
+++ b/core/codec/codec.go
@@ -20,6 +20,7 @@
 const (
 	// MaxDepth bounds the nesting of a decoded item.
 	MaxDepth = 16
+	usualSize = 256
 	// maxInitialLength bounds the elements that a decoder allocates at once.
 	maxInitialLength = 1024
 )
@@ -31,7 +32,13 @@
 
 // Marshal returns the CBOR form of a value.
 func Marshal[T any](value T) ([]byte, error) {
-	var data []byte
+	return MarshalSized(value, usualSize)
+}
+
+// MarshalSized returns the CBOR form of a value that is expected to take about
+// size bytes, so that the buffer need not grow.
+func MarshalSized[T any](value T, size int) ([]byte, error) {
+	data := make([]byte, 0, size)
 	if err := codec.NewEncoderBytes(&data, handle).Encode(value); err != nil {
 		return nil, fmt.Errorf("codec: encode %T: %w", value, err)
 	}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -70,7 +71,7 @@
 func (co *conn) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go co.writeFrames(ctx)
+	go co.writeFrames()
 	go co.keepAlive(ctx)
 	co.readFrames(ctx)
 	co.close()
@@ -214,17 +215,28 @@
 	}
 }
 
+// readFrames reads into one buffer; decoding copies what it keeps. Reads and
+// writes take no context of their own, which would cost a timer each: close
+// ends them.
 func (co *conn) readFrames(ctx context.Context) {
+	var buf bytes.Buffer
 	for {
-		_, data, err := co.ws.Read(ctx)
+		_, reader, err := co.ws.Reader(context.Background())
 		if err != nil {
 			return
 		}
-		fra, err := codec.Unmarshal[frame](data)
+		buf.Reset()
+		if _, err := buf.ReadFrom(reader); err != nil {
+			return
+		}
+		fra, err := codec.Unmarshal[frame](buf.Bytes())
 		if err != nil {
 			return
 		}
 		co.receive(ctx, fra)
+		if buf.Cap() > maxKeptBuffer {
+			buf = bytes.Buffer{}
+		}
 	}
 }
 
@@ -316,14 +328,14 @@
 	}
 }
 
-func (co *conn) writeFrames(ctx context.Context) {
+func (co *conn) writeFrames() {
 	for {
 		select {
 		case out := <-co.send:
 			if out.state != nil && !out.state.CompareAndSwap(int32(stateQueued), int32(stateSent)) {
 				continue
 			}
-			if err := co.write(ctx, out.frame); err != nil {
+			if err := co.write(out.frame); err != nil {
 				co.close()
 				return
 			}
@@ -333,12 +345,12 @@
 	}
 }
 
-func (co *conn) write(ctx context.Context, fra frame) error {
-	data, err := codec.Marshal(fra)
+func (co *conn) write(fra frame) error {
+	data, err := codec.MarshalSized(fra, len(fra.Body)+frameHeadSize)
 	if err != nil {
 		return fmt.Errorf("write frame: %w", err)
 	}
-	if err := co.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+	if err := co.ws.Write(context.Background(), websocket.MessageBinary, data); err != nil {
 		return fmt.Errorf("write frame: %w", err)
 	}
 	return nil
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -33,11 +33,15 @@
 	// DefaultTimeout bounds a call whose context has no deadline.
 	DefaultTimeout = 10 * time.Second
 
+	// frameHeadSize is the usual size of a frame without its body, in bytes.
+	frameHeadSize    = 128
 	idlePingEvery    = 30 * time.Second
 	maxCallsInFlight = 4096
-	pingEvery        = 1 * time.Second
-	pingTimeout      = 2 * time.Second
-	sendQueueLength  = 1024
+	// maxKeptBuffer is the largest buffer that a connection keeps, in bytes.
+	maxKeptBuffer   = 64 << 10
+	pingEvery       = 1 * time.Second
+	pingTimeout     = 2 * time.Second
+	sendQueueLength = 1024
 )
 
 // ErrClosed says that the link itself was lost, not only one call.
