fix: a planned stop resets no connection

Cause: between the last acceptance and the closing of a listener the kernel still completes connections, and resets them on closing.

Change: the listener is bound to an interface that does not exist, so new connections are refused while those under way become whole and are accepted; then it closes.

--- a/core/process/listener.go
+++ b/core/process/listener.go
@@ -2,45 +2,18 @@
 
 import (
 	"net"
-	"sync"
 	"time"
 )
 
-// acceptedGrace is how long after its acceptance a connection may not be known
-// to net/http yet.
-const acceptedGrace = 50 * time.Millisecond
+// acceptGrace is how long connections that were made have to be accepted, and
+// then how long net/http may take to know of one that was accepted.
+const acceptGrace = 50 * time.Millisecond
 
-// drainingListener is a listener that can be closed without resetting the
-// connections that wait to be accepted.
-type drainingListener struct {
-	*net.TCPListener
-
-	mu      sync.Mutex
-	drained []net.Conn
-}
-
-// Accept returns the next connection; after drain, those that were waiting.
-func (dr *drainingListener) Accept() (net.Conn, error) {
-	con, err := dr.TCPListener.Accept()
-	if err == nil {
-		return con, nil
-	}
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	if len(dr.drained) == 0 {
-		return nil, err //nolint:wrapcheck // net/http compares it.
-	}
-	con = dr.drained[0]
-	dr.drained = dr.drained[1:]
-	return con, nil
-}
-
-// drain accepts what waits, stops listening at once after it, and gives
-// net/http the time to take up what was accepted.
-func (dr *drainingListener) drain() {
-	dr.mu.Lock()
-	dr.drained = append(dr.drained, acceptWaiting(dr.TCPListener)...)
-	dr.mu.Unlock()
-	_ = dr.Close()
-	time.Sleep(acceptedGrace)
+// drain closes a listener without resetting connections: new ones are refused,
+// those that were made or are being made are accepted, then it closes.
+func drain(lis *net.TCPListener) {
+	_ = refuseNew(lis) // Without it, closing resets those that wait.
+	time.Sleep(acceptGrace)
+	_ = lis.Close()
+	time.Sleep(acceptGrace)
 }
--- a/core/process/listener_linux.go
+++ b/core/process/listener_linux.go
@@ -1,45 +1,33 @@
 package process
 
 import (
-	"errors"
+	"fmt"
 	"net"
-	"os"
 
 	"golang.org/x/sys/unix"
 )
 
-// acceptWaiting accepts every connection that waits at a listener and stops
-// listening in the next system call, so that almost none can come between; the
-// kernel resets those that are not accepted.
-func acceptWaiting(lis *net.TCPListener) []net.Conn {
+// noInterface is the index of a network interface that does not exist.
+const noInterface = 0x7fffffff
+
+// refuseNew makes the kernel refuse new connections to a listener. It binds the
+// listener to an interface that no packet comes from; connections that were
+// begun before no longer need to find the listener by address, so they become
+// whole and wait to be accepted.
+func refuseNew(lis *net.TCPListener) error {
 	raw, err := lis.SyscallConn()
 	if err != nil {
-		return nil
+		return fmt.Errorf("refuse new connections: %w", err)
 	}
-	var fds []int
+	var setErr error
 	err = raw.Control(func(fd uintptr) {
-		for {
-			con, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-			if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
-				continue
-			}
-			if err != nil {
-				break
-			}
-			fds = append(fds, con)
-		}
-		_ = unix.Shutdown(int(fd), unix.SHUT_RDWR)
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
 	})
 	if err != nil {
-		return nil
+		return fmt.Errorf("refuse new connections: %w", err)
 	}
-	conns := make([]net.Conn, 0, len(fds))
-	for _, fd := range fds {
-		file := os.NewFile(uintptr(fd), "accepted")
-		if con, err := net.FileConn(file); err == nil {
-			conns = append(conns, con)
-		}
-		_ = file.Close()
+	if setErr != nil {
+		return fmt.Errorf("refuse new connections: %w", setErr)
 	}
-	return conns
+	return nil
 }
--- a/core/process/listener_other.go
+++ b/core/process/listener_other.go
@@ -4,5 +4,5 @@
 
 import "net"
 
-// acceptWaiting does nothing where it is not built for.
-func acceptWaiting(*net.TCPListener) []net.Conn { return nil }
+// refuseNew does nothing where it is not built for.
+func refuseNew(*net.TCPListener) error { return nil }
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -73,7 +73,7 @@
 type Server struct {
 	address  string
 	http     *http.Server
-	listener *drainingListener
+	listener *net.TCPListener
 }
 
 // Error returns the text of the error inside.
@@ -167,7 +167,7 @@
 // Shutdown closes the listener and waits until every request was answered.
 func (se *Server) Shutdown(ctx context.Context) error {
 	if se.listener != nil {
-		se.listener.drain()
+		drain(se.listener)
 	}
 	if err := se.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("stop %s: %w", se.address, err)
@@ -177,15 +177,11 @@
 
 // Start listens and serves in the background.
 func (se *Server) Start() error {
-	opened, err := net.Listen("tcp", se.address)
+	lis, err := net.Listen("tcp", se.address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	lis := opened
-	if tcp, ok := opened.(*net.TCPListener); ok {
-		se.listener = &drainingListener{TCPListener: tcp}
-		lis = se.listener
-	}
+	se.listener, _ = lis.(*net.TCPListener)
 	if se.http.TLSConfig != nil {
 		lis = tls.NewListener(lis, se.http.TLSConfig)
 	}
