--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -114,9 +114,7 @@
 func (ga *Gate) Records() []member.Upstream {
 	var records []member.Upstream
 	for _, gu := range ga.list() {
-		if rec, there := gu.record(); there {
-			records = append(records, rec)
-		}
+		records = append(records, gu.record())
 	}
 	return records
 }
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -140,8 +140,8 @@
 	return true
 }
 
-// record returns what is announced of the upstream, and whether it is there.
-func (gu *guard) record() (member.Upstream, bool) {
+// record returns what is announced of the upstream.
+func (gu *guard) record() member.Upstream {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	now := gu.opts.Clock.Now()
@@ -170,7 +170,7 @@
 		rec.SinceMS = gu.judge.Since().UnixMilli()
 		rec.RetryMS = gu.judge.RetryAt().UnixMilli()
 	}
-	return rec, true
+	return rec
 }
 
 // run takes a slot, sends the request and judges the answer.
@@ -336,7 +336,7 @@
 }
 
 func (gu *guard) dump() map[string]any {
-	rec, _ := gu.record()
+	rec := gu.record()
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	return map[string]any{
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -119,6 +119,9 @@
 		in.tracker.notePath(now, cho.end.Daemon, true)
 	}
 	if answer.Outcome == outcome.Ran {
+		if answer.Header == nil {
+			answer.Header = wire.Header{}
+		}
 		answer.Header[outcome.HeaderUpstream] = []string{cho.end.Key}
 	}
 	return answer
--- a/cactuskeeper/internal/cmd/run.go
+++ b/cactuskeeper/internal/cmd/run.go
@@ -47,6 +47,17 @@
 	return com
 }
 
+// keeperProcess is a keeper with its listeners.
+type keeperProcess struct {
+	cfg       *config
+	log       *events.Logger
+	keeper    *keeper.Keeper
+	pool      *link.Pool
+	links     *link.Server
+	peers     *process.Server
+	operators *process.Server
+}
+
 func run(ctx context.Context, cfg *config) error {
 	if ctx == nil {
 		ctx = context.Background()
@@ -58,60 +69,24 @@
 		return err
 	}
 	log = log.With(logrus.Fields{"program": "cactuskeeper", "id": cfg.ID})
-	fleet, operators, err := cfg.OpenTokens()
-	if err != nil {
-		return err
-	}
-	tlsFiles, err := cfg.TLS()
-	if err != nil {
-		return err
-	}
-	key, err := auth.LoadPrivateKey(cfg.SigningKey)
-	if err != nil {
-		return err
-	}
-	disk, err := wal.OpenFolder(cfg.DataFolder)
+	kp, err := newKeeperProcess(ctx, cfg, log)
 	if err != nil {
 		return err
 	}
-	reg := metrics.NewRegistry()
-	mux := link.NewMux()
-	pool := link.NewPool(cfg.ID, fleet, mux, link.WithTLS(tlsFiles.Client()))
-	defer pool.Close()
-	opts := consensus.DefaultOptions()
-	opts.Seed = uint64(time.Now().UnixNano())
-	ke, err := keeper.Open(ctx, keeper.Options{
-		Clock: clock.Real{}, Consensus: opts, Disk: disk, Log: log, Metrics: reg,
-		Mux: mux, PeerAddress: cfg.PeerAddress, Pool: pool, SigningKey: key,
-	})
-	if err != nil {
-		return err
-	}
-	refused := func(req *http.Request) {
-		log.Write(events.CredentialsRefused, logrus.Fields{"from": req.RemoteAddr, "path": req.URL.Path})
-	}
-	links := link.NewServer(mux, fleet, refused)
-	peers := process.NewServer(cfg.PeerAddress, links, tlsFiles.Server(true))
-	ops := process.NewServer(cfg.OperatorAddress, operatorsHandler(cfg, ke, operators, reg, refused), tlsFiles.Server(false))
-	for _, srv := range []*process.Server{peers, ops} {
+	for _, srv := range []*process.Server{kp.peers, kp.operators} {
 		if err := srv.Start(); err != nil {
 			return fmt.Errorf("run: %w", err)
 		}
 	}
 	ran := make(chan struct{})
 	go func() {
-		ke.Run(ctx)
+		kp.keeper.Run(ctx)
 		close(ran)
 	}()
 	log.Write(events.ProcessStarted, logrus.Fields{"operators": cfg.OperatorAddress, "peers": cfg.PeerAddress})
 	process.WaitForStop(ctx, func() { log.Write(events.ProcessCut, nil) })
 	log.Write(events.ProcessStopping, nil)
-	stopCtx, stopCancel := context.WithTimeout(context.Background(), cfg.StopBound)
-	defer stopCancel()
-	ke.Stop(stopCtx)
-	err = ops.Shutdown(stopCtx)
-	links.Close()
-	peers.Close()
+	err = kp.stop()
 	cancel()
 	<-ran
 	if err != nil {
@@ -122,15 +97,69 @@
 	return nil
 }
 
-func operatorsHandler(cfg *config, ke *keeper.Keeper, tokens *auth.Tokens, reg *metrics.Registry, refused func(*http.Request)) http.Handler {
+// newKeeperProcess reads the files that the configuration names and opens the
+// data folder.
+func newKeeperProcess(ctx context.Context, cfg *config, log *events.Logger) (*keeperProcess, error) {
+	fleet, operators, err := cfg.OpenTokens()
+	if err != nil {
+		return nil, err
+	}
+	tlsFiles, err := cfg.TLS()
+	if err != nil {
+		return nil, err
+	}
+	key, err := auth.LoadPrivateKey(cfg.SigningKey)
+	if err != nil {
+		return nil, err
+	}
+	disk, err := wal.OpenFolder(cfg.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	reg := metrics.NewRegistry()
+	mux := link.NewMux()
+	kp := &keeperProcess{cfg: cfg, log: log, pool: link.NewPool(cfg.ID, fleet, mux, link.WithTLS(tlsFiles.Client()))}
+	opts := consensus.DefaultOptions()
+	opts.Seed = uint64(time.Now().UnixNano())
+	kp.keeper, err = keeper.Open(ctx, keeper.Options{
+		Clock: clock.Real{}, Consensus: opts, Disk: disk, Log: log, Metrics: reg,
+		Mux: mux, PeerAddress: cfg.PeerAddress, Pool: kp.pool, SigningKey: key,
+	})
+	if err != nil {
+		return nil, err
+	}
+	kp.links = link.NewServer(mux, fleet, kp.refused)
+	kp.peers = process.NewServer(cfg.PeerAddress, kp.links, tlsFiles.Server(true))
+	kp.operators = process.NewServer(cfg.OperatorAddress, kp.operatorsHandler(operators, reg), tlsFiles.Server(false))
+	return kp, nil
+}
+
+// refused logs a call without a right credential.
+func (kp *keeperProcess) refused(req *http.Request) {
+	kp.log.Write(events.CredentialsRefused, logrus.Fields{"from": req.RemoteAddr, "path": req.URL.Path})
+}
+
+// stop finishes the changes under way and answers what operators have asked.
+func (kp *keeperProcess) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), kp.cfg.StopBound)
+	defer cancel()
+	kp.keeper.Stop(ctx)
+	err := kp.operators.Shutdown(ctx)
+	kp.links.Close()
+	kp.peers.Close()
+	kp.pool.Close()
+	return err
+}
+
+func (kp *keeperProcess) operatorsHandler(tokens *auth.Tokens, reg *metrics.Registry) http.Handler {
 	started := time.Now()
 	status := func() *genprocess.StatusResult {
-		res := &genprocess.StatusResult{Program: "cactuskeeper", ID: ke.ID(), Zone: cfg.Zone, UptimeSeconds: int64(time.Since(started).Seconds())}
-		ke.FillStatus(res)
+		res := &genprocess.StatusResult{Program: "cactuskeeper", ID: kp.keeper.ID(), Zone: kp.cfg.Zone, UptimeSeconds: int64(time.Since(started).Seconds())}
+		kp.keeper.FillStatus(res)
 		return res
 	}
-	ops := process.NewOperators(tokens, status, ke.Dump, reg)
-	process.Mount(ops.Mux(), settingsserver.New, settingsserver.Mount, gensettings.NewEndpoints(keeper.NewSettingsService(ke)))
-	process.Mount(ops.Mux(), keepersserver.New, keepersserver.Mount, genkeepers.NewEndpoints(keeper.NewMembersService(ke)))
-	return ops.Handler(refused)
+	ops := process.NewOperators(tokens, status, kp.keeper.Dump, reg)
+	process.Mount(ops.Mux(), settingsserver.New, settingsserver.Mount, gensettings.NewEndpoints(keeper.NewSettingsService(kp.keeper)))
+	process.Mount(ops.Mux(), keepersserver.New, keepersserver.Mount, genkeepers.NewEndpoints(keeper.NewMembersService(kp.keeper)))
+	return ops.Handler(kp.refused)
 }
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -181,6 +181,14 @@
 	return ju.state
 }
 
+// describe says in a few words what slow work was measured against.
+func (ba Baseline) describe() string {
+	if ba.Siblings < minSiblings {
+		return "against the kind's target, for want of siblings"
+	}
+	return fmt.Sprintf("%d siblings' median %s", ba.Siblings, ba.Median.Round(time.Microsecond))
+}
+
 func (ju *Judge) convict(now time.Time, base Baseline) {
 	if ju.state != Well {
 		return
@@ -189,7 +197,7 @@
 	case ju.errorScore >= ju.policy.Threshold:
 		ju.sicken(now, fmt.Sprintf("failed work: evidence %.1f of %.1f, error rate %.0f%%, siblings %.0f%%", ju.errorScore, ju.policy.Threshold, 100*ju.errorRate, 100*base.ErrorRate))
 	case ju.slowScore >= ju.policy.Threshold:
-		ju.sicken(now, fmt.Sprintf("slow work: evidence %.1f of %.1f, siblings' median %s", ju.slowScore, ju.policy.Threshold, base.Median.Round(time.Microsecond)))
+		ju.sicken(now, fmt.Sprintf("slow work: evidence %.1f of %.1f, %s", ju.slowScore, ju.policy.Threshold, base.describe()))
 	}
 }
 
