fix: a dial belongs to all who wait for it

The connection was dialled under the context of whichever call came first; when that call had a millisecond left, the dial failed, and for 200 ms every other call was refused.

Change: a dial has its own time and is shared by those who wait.

--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -130,6 +130,19 @@
 	is.Equal(fi.asked.Load(), int64(0))
 }
 
+// TestShortDeadlineDoesNotSpoilTheDial begins a dial with a call that can't
+// wait for it; others get the connection that it makes.
+func TestShortDeadlineDoesNotSpoilTheDial(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Microsecond)
+	defer cancel()
+	_, err := fi.call(ctx, echo{})
+	is.True(errors.Is(err, link.ErrNotSent))
+	_, err = fi.call(context.Background(), echo{})
+	is.NoErr(err)
+}
+
 func TestLostLinkLeavesTheRunUnknown(t *testing.T) {
 	is := is.New(t)
 	fi := newFixture(t)
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -51,8 +51,10 @@
 }
 
 type peerConn struct {
-	mu      sync.Mutex
-	con     *conn
+	mu  sync.Mutex
+	con *conn
+	// dialing is closed when the dial under way ends; nil when there is none.
+	dialing chan struct{}
 	failed  time.Time
 	lastErr error
 }
@@ -142,29 +144,60 @@
 	}
 	po.mu.Unlock()
 
+	con, dialing, err := po.connOrDial(pc, address)
+	if con != nil || err != nil {
+		return con, err
+	}
+	select {
+	case <-dialing:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("dial %s: %w", address, ctx.Err())
+	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	if pc.con != nil && !pc.con.isClosed() {
 		return pc.con, nil
 	}
+	return nil, fmt.Errorf("dial %s: %w", address, errors.Join(pc.lastErr, ErrClosed))
+}
+
+// connOrDial returns the connection, or the end of the dial under way, which it
+// begins when there is none. The dial belongs to all who wait for it: the short
+// deadline of one must not make it fail for the others.
+func (po *Pool) connOrDial(pc *peerConn, address string) (*conn, <-chan struct{}, error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.con != nil && !pc.con.isClosed() {
+		return pc.con, nil, nil
+	}
 	if time.Since(pc.failed) < redialAfter {
-		return nil, fmt.Errorf("dial %s: a moment ago: %w", address, pc.lastErr)
+		return nil, nil, fmt.Errorf("dial %s: a moment ago: %w", address, pc.lastErr)
+	}
+	if pc.dialing == nil {
+		pc.dialing = make(chan struct{})
+		go po.dialFor(pc, address)
 	}
-	con, err := po.dial(ctx, address)
+	return nil, pc.dialing, nil
+}
+
+// dialFor dials a peer and tells all who wait.
+func (po *Pool) dialFor(pc *peerConn, address string) {
+	con, err := po.dial(address)
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.con, pc.lastErr = con, err
 	if err != nil {
 		pc.failed = time.Now()
-		pc.lastErr = err
-		return nil, err
 	}
-	pc.con = con
-	return con, nil
+	close(pc.dialing)
+	pc.dialing = nil
 }
 
-func (po *Pool) dial(ctx context.Context, address string) (*conn, error) {
+func (po *Pool) dial(address string) (*conn, error) {
 	if po.stop.Err() != nil {
 		return nil, errors.New("dial: the pool is closed")
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(po.stop, dialTimeout)
 	defer cancel()
 	header := make(http.Header)
 	po.tokens.Sign(header)
