fix: a late announcement does not bring back an upstream that left

Ruled out: routing (every request of the other daemons had been refused).

Change: an upstream that left stays known for 5 s, in which announcements are refused.

--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -68,6 +68,7 @@
 
 // The errors of announcements.
 var (
+	ErrLeft         = errors.New("gate: the upstream left a moment ago; announce it again in a few seconds")
 	ErrOtherService = errors.New("gate: the upstream is announced with another service or address")
 	ErrStopping     = errors.New("gate: the daemon stops")
 	ErrUnknown      = errors.New("gate: no such upstream; announce it first")
@@ -180,10 +181,13 @@
 		return false, ErrStopping
 	}
 	gu := ga.guards[ann.ID]
-	if gu == nil || gu.isGone() {
+	if gu == nil {
 		ga.guards[ann.ID] = newGuard(ann, ga.opts)
 		return true, nil
 	}
+	if gu.isGone() {
+		return false, ErrLeft
+	}
 	if !gu.matches(ann) {
 		return false, ErrOtherService
 	}
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -18,9 +18,9 @@
 
 const (
 	idlePoll = 5 * time.Millisecond
-	// gonePatience is how long a leaving upstream may still be announced as
-	// draining after its last work.
-	gonePatience = 2 * time.Second
+	// gonePatience is how long an upstream stays known after it left. Until then
+	// announcements that were late or repeated can't bring it back.
+	gonePatience = 5 * time.Second
 	maxKinds     = 256
 )
 
