fix: claims assign changes nothing when the holders stay

Cause: tried as a new user, `claims assign` made a new table with the groups it had, which every holder would have to move to.

Change: it says 'no difference'. docs/design/stops.md says how stops work.

--- a/cactusctl/internal/cmd/claims.go
+++ b/cactusctl/internal/cmd/claims.go
@@ -71,6 +71,10 @@
 					return err
 				}
 			}
+			if slices.EqualFunc(wanted, current.Groups, slices.Equal[[]string]) {
+				fmt.Fprintln(com.OutOrStdout(), "no difference")
+				return nil
+			}
 			edit := settings.Edit{Path: settings.RootSection, Key: settings.KeyClaimHolders, Value: current.Next(wanted).String()}
 			return flags.apply(ap, cli, com.OutOrStdout(), tree, []settings.Edit{edit}, &version)
 		},
--- a/standin/internal/story/story_test.go
+++ b/standin/internal/story/story_test.go
@@ -108,6 +108,7 @@
 func TestKeepersAwayForLong(t *testing.T) {
 	is := is.New(t)
 	fl := newQuillota(t, 1, 5*time.Millisecond)
+	is.True(strings.Contains(fl.ctl("claims", "assign", "--reason", "all are there"), "no difference"))
 	for number := 1; number <= 3; number++ {
 		fl.kill(fmt.Sprintf("k%d", number))
 	}
