fix: keepers greet one another, so all know who had which disk

Cause: TestOldIdentityWithoutItsDiskIsRefused failed once: a keeper that came back under its old name with an empty folder was taken in, and a change was accepted with it. The keeper that should have refused it had never heard from it before: only the leader had, and the leader was gone.

Ruled out: the check itself; it refuses when the nonce is known.

Change: every keeper greets all members of the group twice a second. In the story, operators ask the keeper first that decided last (it took 124 s instead of 5 when the first keeper did not lead).

Not proved: a keeper that was away since another one's first start learns its nonce only from its next greeting; nonces in the log would close that.

--- a/cactuskeeper/internal/keeper/keeper.go
+++ b/cactuskeeper/internal/keeper/keeper.go
@@ -36,6 +36,7 @@
 const (
 	compactAfter  = 2000
 	firstChangeID = "cactusstream-first-tree"
+	greetEvery    = 500 * time.Millisecond
 	tickEvery     = 10 * time.Millisecond
 	workQueue     = 1024
 )
@@ -82,6 +83,7 @@
 	reads     map[uint64]chan error
 	nextRead  uint64
 	lastRole  consensus.Role
+	greeted   time.Time
 	failed    error
 
 	mu    sync.RWMutex
@@ -223,6 +225,7 @@
 		if ke.failed != nil {
 			continue
 		}
+		ke.greet()
 		ke.node.Tick(ke.opts.Clock.Now())
 		if err := ke.flush(); err != nil {
 			ke.fail(err)
@@ -351,6 +354,21 @@
 	return spread.Newest{Version: ke.InForce().Version}, nil
 }
 
+// greet tells the other keepers now and then who this one is, so that all of
+// them know its nonce, also those that the agreement had nothing to tell.
+func (ke *Keeper) greet() {
+	now := ke.opts.Clock.Now()
+	if now.Sub(ke.greeted) < greetEvery {
+		return
+	}
+	ke.greeted = now
+	for _, mem := range ke.node.Config().Members {
+		if mem.ID != ke.ident.ID {
+			ke.transport.send(consensus.Message{From: ke.ident.ID, To: mem.ID})
+		}
+	}
+}
+
 func (ke *Keeper) noteRole() {
 	role := ke.node.Role()
 	if role == ke.lastRole {
@@ -371,7 +389,7 @@
 	}
 	select {
 	case ke.work <- func(now time.Time) {
-		if ke.failed == nil {
+		if ke.failed == nil && env.Message.Kind != 0 {
 			ke.node.Step(now, env.Message)
 		}
 	}:
--- a/standin/internal/story/keepers_test.go
+++ b/standin/internal/story/keepers_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	fl     *fleet
 	token  string
 	client *http.Client
+	// decided is the place of the keeper that decided last.
+	decided atomic.Int64
 }
 
 // changeInput and changeOutput are one operation of a history: a change made
@@ -72,10 +75,13 @@
 // unknown is sent again with its id, as operators are told to.
 func (op *operator) decide(method, path string, body any) (int, map[string]any, bool) {
 	addresses := strings.Split(op.fl.keeperAddresses(7001), ",")
+	first := int(op.decided.Load())
 	for attempt := 0; attempt < 200; attempt++ {
-		status, fields := op.ask(addresses[attempt%len(addresses)], method, path, body)
+		at := (first + attempt) % len(addresses)
+		status, fields := op.ask(addresses[at], method, path, body)
 		switch status {
 		case http.StatusOK, http.StatusConflict, http.StatusBadRequest:
+			op.decided.Store(int64(at))
 			return status, fields, true
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -267,6 +273,7 @@
 	fl := newFleet(t, 3)
 	fl.eventually(10*time.Second, "there is a tree", func() bool { return fl.version() > 0 })
 	fl.ctl("settings", "set", "root", "rank", "1", "--reason", "accepted")
+	time.Sleep(time.Second) // Until all keepers have greeted one another.
 	fl.kill("k2")
 	fl.kill("k3")
 	is.NoErr(os.RemoveAll(fl.path("k2")))
