fix: Ctrl-C stops the kept demo once, not twice

Cause: Ctrl-C reached the programs and the script, whose own stop was then a second signal: 20 of 31 processes exited with 0.

Change: programs of the script have process groups of their own.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -48,8 +48,10 @@
 spawn() { # name command...
 	local name=$1
 	shift
+	set -m # A group of its own, so that Ctrl-C reaches the script alone.
 	"$@" >>"$RUN/log/$name.out" 2>>"$RUN/log/$name.log" &
 	PIDS[$name]=$!
+	set +m
 }
 
 keeper_start() { # number
