fix: confirm the table that was read, not a newer one

Cause: reading the change once more. A claim holder read its table, asked the keepers, and compared their answer with the settings in force by then. A table that came in between would have confirmed the older one for up to 100 ms, until the next look.

Ruled out: nothing else; found by reading, never seen to happen.

Change: the version compared is that of the settings which the table was read from; both come from one look. Stricter only.

It has no test of its own yet: the claims package has no fake for the keepers' answer.

--- a/cactusd/internal/claims/claims.go
+++ b/cactusd/internal/claims/claims.go
@@ -107,7 +107,7 @@
 
 // Acquire claims a key for an attempt.
 func (cl *Claims) Acquire(ctx context.Context, key, attempt string) claim.Grant {
-	return cl.claimant.Claim(ctx, cl.tableInForce(), key, attempt)
+	return cl.claimant.Claim(ctx, tableOf(cl.opts.Holder.Current()), key, attempt)
 }
 
 // Record notes in the background that the attempt of a grant ran.
@@ -203,17 +203,18 @@
 	return cl.holder.Claim(cl.opts.Clock.Now(), req)
 }
 
-func (cl *Claims) tableInForce() claim.Table {
-	return cl.opts.Holder.Current().Resolver.Policy(settings.Path{}).ClaimHolders
+func tableOf(current *spread.InForce) claim.Table {
+	return current.Resolver.Policy(settings.Path{}).ClaimHolders
 }
 
 // follow moves to a new table of holders and, where it must, learns the claims
 // of the former holders.
 func (cl *Claims) follow(ctx context.Context) {
-	if cl.opts.Holder.Current().Version == 0 {
+	current := cl.opts.Holder.Current()
+	if current.Version == 0 {
 		return
 	}
-	table := cl.tableInForce()
+	table := tableOf(current)
 	cl.mu.Lock()
 	if table.Epoch > cl.table.Epoch {
 		cl.holder.SetEpoch(table.Epoch, table.MustLearn(cl.opts.Self))
@@ -227,7 +228,7 @@
 	cl.noteReady()
 	cl.mu.Unlock()
 	if !confirmed {
-		cl.confirm(ctx, table)
+		cl.confirm(ctx, table, current.Version)
 	}
 	if learning && table.Holds(cl.opts.Self) {
 		cl.learn(ctx, formers, table.Epoch)
@@ -235,11 +236,12 @@
 }
 
 // confirm finds out whether a newer table than this daemon's is in use: from
-// the keepers, or else from all the other holders of its group.
-func (cl *Claims) confirm(ctx context.Context, table claim.Table) {
+// the keepers, or else from all the other holders of its group. The version is
+// that of the settings which the table was read from.
+func (cl *Claims) confirm(ctx context.Context, table claim.Table, version uint64) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if !cl.confirmedByKeepers(ctx) && !cl.confirmedByHolders(ctx, table) {
+	if !cl.confirmedByKeepers(ctx, version) && !cl.confirmedByHolders(ctx, table) {
 		return
 	}
 	cl.mu.Lock()
@@ -247,11 +249,11 @@
 	cl.holder.Confirm(table.Epoch)
 }
 
-func (cl *Claims) confirmedByKeepers(ctx context.Context) bool {
+func (cl *Claims) confirmedByKeepers(ctx context.Context, version uint64) bool {
 	for _, address := range cl.opts.Keepers {
 		newest, err := link.Call[struct{}, spread.Newest](ctx, cl.opts.Pool, address, spread.MethodNewest, struct{}{})
 		if err == nil {
-			return cl.opts.Holder.Current().Version >= newest.Version
+			return version >= newest.Version
 		}
 	}
 	return false
