--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for people and for CI; README.md explains them.
-MODULES := core cactusctl cactusd cactuskeeper standin
+MODULES := core cactusctl cactusd cactuskeeper platform standin
 PROGRAMS := cactusctl cactusd cactuskeeper standin
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X cactusstream.example/core/process.Version=$(VERSION)
--- a/cactusd/internal/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,6 @@
 	goahttp "goa.design/goa/v3/http"
 
 	"cactusstream.example/cactusd/internal/claims"
-	"cactusstream.example/cactusd/internal/fleet"
 	"cactusstream.example/cactusd/internal/follower"
 	"cactusstream.example/cactusd/internal/gate"
 	"cactusstream.example/cactusd/internal/ingress"
@@ -37,7 +37,9 @@
 	"cactusstream.example/core/auth"
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/clock"
+	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
+	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/link"
 	"cactusstream.example/core/member"
 	"cactusstream.example/core/metrics"
@@ -54,15 +56,22 @@
 
 // Options are what a Daemon is made of.
 type Options struct {
-	Config         process.Config
-	CallerAddress  string
-	Claims         claim.Options
-	Clock          clock.Clock
-	Firm           string
-	Keepers        []string
-	Log            *events.Logger
-	Place          string
-	Seeds          []string
+	Config        process.Config
+	CallerAddress string
+	// Claims are the limits of claims; nil where no request comes twice.
+	Claims *claim.Options
+	// Callers and Upstreams are how callers and upstreams speak.
+	Callers   dialect.Caller
+	Upstreams dialect.Upstream
+	Clock     clock.Clock
+	Firm      string
+	// Keepers are peer addresses of keepers; those that the fleet names are
+	// asked too.
+	Keepers []string
+	Log     *events.Logger
+	Place   string
+	// Seeds returns peer addresses where members of the fleet may be.
+	Seeds          func() []string
 	FleetTokens    *auth.Tokens
 	OperatorTokens *auth.Tokens
 	ServiceTokens  *auth.Tokens
@@ -112,17 +121,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	da.gate = gate.New(gate.Options{Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, Changed: da.announce})
-	da.claims = claims.New(claims.Options{
-		Clock: opts.Clock, Holder: da.holder, Keepers: opts.Keepers, Log: opts.Log, Mux: mux, Pool: da.pool, Self: opts.Config.ID,
-		Limits: opts.Claims, Address: da.addressOf,
-	})
-	da.ingress = ingress.New(ingress.Options{
-		Claims: da.claims, Clock: opts.Clock, Firm: opts.Firm, Holder: da.holder, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
+	da.gate = gate.New(gate.Options{Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, Changed: da.announce})
+	ingressOpts := ingress.Options{
+		Clock: opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Holder: da.holder, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
 		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
 		Services: opts.ServiceTokens, View: da.fleet.View, Zone: opts.Config.Zone,
-	})
-	da.follower = follower.New(follower.Options{Holder: da.holder, Keepers: opts.Keepers, Seeds: opts.Seeds, Log: opts.Log, Pool: da.pool, Ahead: da.fleet.Ahead})
+	}
+	if opts.Claims != nil {
+		da.claims = claims.New(claims.Options{
+			Clock: opts.Clock, Holder: da.holder, Keepers: opts.Keepers, Log: opts.Log, Mux: mux, Pool: da.pool, Self: opts.Config.ID,
+			Limits: *opts.Claims, Address: da.addressOf,
+		})
+		ingressOpts.Claims = da.claims
+	}
+	da.ingress = ingress.New(ingressOpts)
+	da.follower = follower.New(follower.Options{Holder: da.holder, Keepers: da.keepers, Seeds: opts.Seeds, Log: opts.Log, Pool: da.pool, Ahead: da.fleet.Ahead})
 	spread.Serve(mux, da.holder)
 	link.Handle(mux, wire.MethodRun, func(ctx context.Context, _ string, req wire.RunRequest) (wire.RunAnswer, error) {
 		return da.gate.Run(ctx, req), nil
@@ -146,7 +159,9 @@
 	da.fleet.Join(ctx)
 	go da.fleet.Run(ctx)
 	go da.follower.Run(ctx)
-	go da.claims.Run(ctx)
+	if da.claims != nil {
+		go da.claims.Run(ctx)
+	}
 	go da.tick(ctx)
 	if err := da.callers.Start(); err != nil {
 		return fmt.Errorf("daemon: %w", err)
@@ -168,7 +183,9 @@
 	case <-ctx.Done():
 	}
 	err := errors.Join(da.callers.Shutdown(ctx), <-gateDone)
-	da.claims.Wait()
+	if da.claims != nil {
+		da.claims.Wait()
+	}
 	da.fleet.Leave()
 	err = errors.Join(err, da.operators.Shutdown(ctx))
 	da.cancel()
@@ -183,6 +200,22 @@
 	return da.fleet.View().Members[id].PeerAddress
 }
 
+// IsReady says whether the daemon has settings and takes new callers.
+func (da *Daemon) IsReady() bool {
+	return !da.stopping.Load() && da.holder.Current().Version > 0
+}
+
+// keepers returns the keepers of the options, then those that the fleet names.
+func (da *Daemon) keepers() []string {
+	keepers := slices.Clone(da.opts.Keepers)
+	for _, address := range da.fleet.View().Keepers {
+		if !slices.Contains(keepers, address) {
+			keepers = append(keepers, address)
+		}
+	}
+	return keepers
+}
+
 func (da *Daemon) announce() {
 	da.fleet.SetUpstreams(da.gate.Records())
 }
@@ -239,13 +272,16 @@
 func (da *Daemon) dump() map[string]any {
 	current := da.holder.Current()
 	records, _ := da.fleet.Members()
-	return map[string]any{
+	dump := map[string]any{
 		"settings":  map[string]any{"version": current.Version, "digest": current.Digest},
 		"members":   records,
 		"gate":      da.gate.Dump(),
 		"ingress":   da.ingress.Dump(),
-		"claims":    da.claims.Dump(),
 		"links":     da.pool.Statuses(),
 		"upstreams": da.fleet.View().Pools,
 	}
+	if da.claims != nil {
+		dump["claims"] = da.claims.Dump()
+	}
+	return dump
 }
--- a/cactusd/internal/daemon/runner.go
+++ b/cactusd/daemon/runner.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"cactusstream.example/cactusd/internal/fleet"
 	"cactusstream.example/cactusd/internal/gate"
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/link"
 )
 
--- a/cactusd/internal/cmd/run.go
+++ b/cactusd/internal/cmd/run.go
@@ -8,9 +8,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"cactusstream.example/cactusd/internal/daemon"
+	"cactusstream.example/cactusd/daemon"
 	"cactusstream.example/core/auth"
 	"cactusstream.example/core/clock"
+	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/process"
 )
@@ -69,8 +70,8 @@
 // optionsOf reads the files that the configuration names.
 func optionsOf(cfg *config, log *events.Logger) (daemon.Options, error) {
 	opts := daemon.Options{
-		Config: cfg.Config, CallerAddress: cfg.CallerAddress, Claims: cfg.Claims, Clock: clock.Real{}, Firm: cfg.Firm,
-		Keepers: cfg.Keepers, Log: log, Place: cfg.Place, Seeds: cfg.Seeds,
+		Config: cfg.Config, CallerAddress: cfg.CallerAddress, Callers: dialect.DefaultCaller(), Upstreams: dialect.DefaultUpstream(), Claims: &cfg.Claims, Clock: clock.Real{}, Firm: cfg.Firm,
+		Keepers: cfg.Keepers, Log: log, Place: cfg.Place, Seeds: func() []string { return cfg.Seeds },
 	}
 	var err error
 	if opts.FleetTokens, opts.OperatorTokens, err = cfg.OpenTokens(); err != nil {
--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -34,9 +35,10 @@
 
 // Options are what a Follower is made of.
 type Options struct {
-	Holder  *spread.Holder
-	Keepers []string
-	Seeds   []string
+	Holder *spread.Holder
+	// Keepers returns the peer addresses of the keepers that are known.
+	Keepers func() []string
+	Seeds   func() []string
 	Log     *events.Logger
 	Pool    *link.Pool
 	// Ahead returns the address of a daemon with newer settings, or "".
@@ -59,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, firstAskTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, address := range append(append([]string(nil), fo.opts.Keepers...), fo.opts.Seeds...) {
+	for _, address := range append(fo.opts.Keepers(), fo.opts.Seeds()...) {
 		group.Go(func() { _ = fo.pull(ctx, address, 0) })
 	}
 	group.Wait()
@@ -85,18 +87,16 @@
 // watchKeepers keeps one long request at a keeper chosen at random, so that
 // the daemons spread over the keepers and hear of a change at once.
 func (fo *Follower) watchKeepers(ctx context.Context) {
-	if len(fo.opts.Keepers) == 0 {
-		return
-	}
-	at := rand.IntN(len(fo.opts.Keepers))
+	at := rand.IntN(math.MaxInt32)
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := fo.pull(ctx, fo.opts.Keepers[at], watchTime)
-		if err == nil {
-			backoff = minBackoff
-			continue
+		if keepers := fo.opts.Keepers(); len(keepers) > 0 {
+			if err := fo.pull(ctx, keepers[at%len(keepers)], watchTime); err == nil {
+				backoff = minBackoff
+				continue
+			}
 		}
-		at = (at + 1) % len(fo.opts.Keepers)
+		at++
 		select {
 		case <-time.After(backoff/2 + rand.N(backoff)):
 		case <-ctx.Done():
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -24,6 +24,7 @@
 
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/clock"
+	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/health"
 	"cactusstream.example/core/member"
@@ -44,11 +45,16 @@
 	Slots       int
 	Connections int
 	Cold        time.Duration
+	// Born is when the upstream started, and Sequence grows with each of its
+	// announcements; zero values order nothing.
+	Born     time.Time
+	Sequence uint64
 }
 
 // Options are what a Gate is made of.
 type Options struct {
 	Clock   clock.Clock
+	Dialect dialect.Upstream
 	Log     *events.Logger
 	Metrics *metrics.Registry
 	// Policy returns the settings of a service's pool.
@@ -69,6 +75,7 @@
 // The errors of announcements.
 var (
 	ErrLeft         = errors.New("gate: the upstream left a moment ago; announce it again in a few seconds")
+	ErrOvertaken    = errors.New("gate: a later announcement of the upstream came first")
 	ErrOtherService = errors.New("gate: the upstream is announced with another service or address")
 	ErrStopping     = errors.New("gate: the daemon stops")
 	ErrUnknown      = errors.New("gate: no such upstream; announce it first")
@@ -102,10 +109,19 @@
 // Leave makes an upstream take no new work, and returns what it still runs.
 // Repeating it is harmless.
 func (ga *Gate) Leave(id string) (int, error) {
+	return ga.LeaveStart(id, time.Time{})
+}
+
+// LeaveStart is Leave for one start of an upstream: a start after born stays.
+// The zero time stands for any start.
+func (ga *Gate) LeaveStart(id string, born time.Time) (int, error) {
 	gu, ok := ga.find(id)
 	if !ok {
 		return 0, ErrUnknown
 	}
+	if !born.IsZero() && gu.ann.Born.After(born) {
+		return 0, nil
+	}
 	inFlight := gu.leave("announced that it leaves")
 	ga.opts.Changed()
 	return inFlight, nil
@@ -173,7 +189,9 @@
 	return changed
 }
 
-// take adds an announced upstream, or renews it; it says whether it is new.
+// take adds an announced upstream, or renews it; it says whether it is new. An
+// announcement of an earlier start of the upstream, or one that a later one of
+// the same start has overtaken, changes nothing.
 func (ga *Gate) take(ann Announcement) (bool, error) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -181,17 +199,26 @@
 		return false, ErrStopping
 	}
 	gu := ga.guards[ann.ID]
+	if gu != nil && ann.Born.After(gu.ann.Born) && !gu.ann.Born.IsZero() {
+		gu.leave("it started anew")
+		gu = nil
+	}
 	if gu == nil {
 		ga.guards[ann.ID] = newGuard(ann, ga.opts)
 		return true, nil
 	}
+	if ann.Born.Before(gu.ann.Born) {
+		return false, ErrOvertaken
+	}
 	if gu.isGone() {
 		return false, ErrLeft
 	}
 	if !gu.matches(ann) {
 		return false, ErrOtherService
 	}
-	gu.renew()
+	if !gu.renew(ann.Sequence) {
+		return false, ErrOvertaken
+	}
 	return false, nil
 }
 
--- a/cactusd/internal/gate/gate_test.go
+++ b/cactusd/internal/gate/gate_test.go
@@ -20,6 +20,7 @@
 	"cactusstream.example/cactusd/internal/gate"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/clock"
+	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/outcome"
@@ -29,7 +30,7 @@
 func newGate(clo clock.Clock) *gate.Gate {
 	policy := settings.NewResolver(settings.NewTree()).Policy(settings.Path{})
 	return gate.New(gate.Options{
-		Clock: clo, Log: events.Discard(), Metrics: metrics.NewRegistry(),
+		Clock: clo, Dialect: dialect.DefaultUpstream(), Log: events.Discard(), Metrics: metrics.NewRegistry(),
 		Policy: func(string) *settings.Policy { return policy }, Changed: func() {},
 	})
 }
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -37,6 +37,7 @@
 	warmAt   time.Time
 	readyAt  time.Time
 	renewed  time.Time
+	sequence uint64
 	reported int
 	leaving  bool
 	leftAt   time.Time
@@ -48,15 +49,16 @@
 	policy := opts.Policy(ann.Service)
 	now := opts.Clock.Now()
 	return &guard{
-		ann:     ann,
-		opts:    opts,
-		client:  newUpstreamClient(ann),
-		queue:   rankqueue.New(ann.Slots, queuePolicy(policy)),
-		judge:   health.NewJudge(healthPolicy(policy)),
-		kinds:   make(map[string]*health.Latency),
-		warmAt:  now.Add(ann.Cold),
-		readyAt: now.Add(ann.Cold),
-		renewed: now,
+		ann:      ann,
+		opts:     opts,
+		client:   newUpstreamClient(ann, opts.Dialect),
+		queue:    rankqueue.New(ann.Slots, queuePolicy(policy)),
+		judge:    health.NewJudge(healthPolicy(policy)),
+		kinds:    make(map[string]*health.Latency),
+		warmAt:   now.Add(ann.Cold),
+		readyAt:  now.Add(ann.Cold),
+		renewed:  now,
+		sequence: ann.Sequence,
 	}
 }
 
@@ -64,10 +66,17 @@
 	return gu.ann.Service == ann.Service && gu.ann.Address == ann.Address && gu.ann.Slots == ann.Slots
 }
 
-func (gu *guard) renew() {
+// renew takes an announcement of the same start; it returns false when a later
+// one came first.
+func (gu *guard) renew(sequence uint64) bool {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
+	if sequence < gu.sequence {
+		return false
+	}
+	gu.sequence = sequence
 	gu.renewed = gu.opts.Clock.Now()
+	return true
 }
 
 func (gu *guard) report(busy int) {
@@ -213,7 +222,7 @@
 	if gu.leaving {
 		return wire.NotRun(outcome.Stopping, "the upstream is leaving"), true
 	}
-	if now.Before(gu.warmAt) {
+	if now.Before(gu.warmAt) && gu.opts.Policy(gu.ann.Service).ColdPercent == 0 {
 		return wire.NotRun(outcome.NoUpstream, "the upstream is cold"), true
 	}
 	if !req.Trial {
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -118,7 +118,7 @@
 	} else {
 		in.tracker.notePath(now, cho.end.Daemon, true)
 	}
-	if answer.Outcome == outcome.Ran {
+	if answer.Outcome == outcome.Ran && !in.opts.Dialect.IsPlain {
 		if answer.Header == nil {
 			answer.Header = wire.Header{}
 		}
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"cactusstream.example/cactusd/internal/fleet"
+	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/pick"
 )
 
@@ -37,7 +37,8 @@
 	}
 	var good, doubtful []fleet.Endpoint
 	for _, end := range pool.Endpoints {
-		if tried[end.Key] || end.State != fleet.StateReady && end.State != fleet.StateHeldByFloor {
+		cold := end.State == fleet.StateCold && jo.pool.ColdPercent > 0
+		if tried[end.Key] || end.State != fleet.StateReady && end.State != fleet.StateHeldByFloor && !cold {
 			continue
 		}
 		if end.Suspect || !in.tracker.isPathGood(now, end.Daemon) {
@@ -79,6 +80,9 @@
 		if end.State == fleet.StateHeldByFloor {
 			weight *= heldWeight
 		}
+		if end.State == fleet.StateCold {
+			weight = float64(jo.pool.ColdPercent) / 100
+		}
 		list = append(list, pick.Candidate{
 			ID: end.Key, Zone: end.Zone, Slots: end.Upstream.Slots,
 			Load: in.tracker.load(now, end.Key), Weight: weight,
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -25,15 +25,15 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/sirupsen/logrus"
 
-	"cactusstream.example/cactusd/internal/fleet"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/auth"
 	"cactusstream.example/core/budget"
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/clock"
+	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
+	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/settings"
@@ -55,8 +55,10 @@
 
 // Options are what an Ingress is made of.
 type Options struct {
+	// Claims is nil where no request comes twice.
 	Claims   Claims
 	Clock    clock.Clock
+	Dialect  dialect.Caller
 	Firm     string
 	Holder   *spread.Holder
 	Log      *events.Logger
@@ -84,6 +86,7 @@
 
 // job is one request of a caller.
 type job struct {
+	id       string
 	path     settings.Path
 	policy   *settings.Policy
 	pool     *settings.Policy
@@ -138,20 +141,29 @@
 
 // newJob reads a request, and refuses what can't be run.
 func (in *Ingress) newJob(wr http.ResponseWriter, req *http.Request, now time.Time) (*job, *wire.RunAnswer) {
-	jo := &job{arrived: now, key: req.Header.Get(outcome.HeaderKey)}
+	jo := &job{arrived: now}
+	if in.opts.Dialect.Key != "" {
+		jo.key = req.Header.Get(in.opts.Dialect.Key)
+	}
 	jo.keyed = jo.key != ""
+	if in.opts.Dialect.Request != "" {
+		jo.id = req.Header.Get(in.opts.Dialect.Request)
+	}
 	current := in.opts.Holder.Current()
 	if current.Version == 0 {
 		return jo, jo.refuse(outcome.NoSettings, "this daemon has no settings yet")
 	}
 	firm := headerOr(req.Header, outcome.HeaderFirm, in.opts.Firm)
 	place := headerOr(req.Header, outcome.HeaderPlace, in.opts.Place)
-	path, found := current.Resolver.Routes().Find(firm, place, req.Method, req.URL.Path)
+	path, found := current.Resolver.Routes().Find(settings.Request{Firm: firm, Place: place, Host: req.Host, Method: req.Method, Path: req.URL.Path})
 	if !found {
 		return jo, jo.refuse(outcome.NoRoute, "no kind of request has this method and path")
 	}
-	jo.path = path
 	jo.policy = current.Resolver.Policy(path)
+	if service := jo.policy.Split.Choose(rand.Float64()); service != "" {
+		path.Service = service
+	}
+	jo.path = path
 	jo.pool = current.Resolver.Policy(settings.Path{Firm: in.opts.Firm, Place: in.opts.Place, Service: path.Service})
 	if jo.policy.Idempotent {
 		jo.keyed = false
@@ -159,7 +171,7 @@
 	if jo.policy.Internal && !in.opts.Services.Accepts(req) {
 		return jo, jo.refuse(outcome.Credentials, "only our own services may ask for this")
 	}
-	limit, err := deadlineOf(req.Header, jo.policy.Deadline)
+	limit, err := in.deadlineOf(req.Header, jo.policy.Deadline)
 	if err != nil {
 		return jo, jo.refuse(outcome.BadRequest, err.Error())
 	}
@@ -173,8 +185,8 @@
 		return jo, jo.refuse(outcome.BadRequest, "the body could not be read")
 	}
 	jo.run = wire.RunRequest{
-		Service: path.Service, Kind: path.Kind, Firm: firm, Rank: jo.policy.Rank, Idempotent: jo.policy.Idempotent,
-		Method: req.Method, URI: req.URL.RequestURI(), Header: forwardHeader(req.Header, jo.policy.Internal), Body: body,
+		Request: jo.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: jo.policy.Rank, Idempotent: jo.policy.Idempotent,
+		Method: req.Method, Host: req.Host, URI: req.URL.RequestURI(), Header: in.forwardHeader(req.Header, jo.policy.Internal), Body: body,
 		BodyLimit: jo.policy.BodyLimit, Target: jo.policy.Target,
 	}
 	return jo, nil
@@ -211,62 +223,42 @@
 	return bud.(*budget.Budget)
 }
 
-// write sends an answer to the caller.
-func (in *Ingress) write(wr http.ResponseWriter, jo *job, answer wire.RunAnswer) {
-	header := wr.Header()
-	header.Set(outcome.HeaderAttempts, strconv.Itoa(jo.attempts))
-	header.Set(outcome.HeaderOutcome, string(answer.Outcome))
-	in.opts.Metrics.Counter("ingress.outcome." + string(answer.Outcome)).Inc(1)
-	if answer.Outcome == outcome.Ran {
-		for name, values := range answer.Header {
-			if !strings.HasPrefix(name, "Cactus-Outcome") {
-				header[name] = values
-			}
-		}
-		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-		wr.WriteHeader(answer.Status)
-		_, _ = wr.Write(answer.Body)
-		return
-	}
-	in.opts.Log.Write(events.RequestFailed, logrus.Fields{"service": jo.path.Service, "kind": jo.path.Kind, "outcome": answer.Outcome, "reason": answer.Reason, "detail": answer.Detail})
-	in.opts.Metrics.Counter("ingress.reason." + string(answer.Reason)).Inc(1)
-	text := fmt.Sprintf("%s: %s: %s\n", answer.Outcome, answer.Reason, answer.Detail)
-	header.Set(outcome.HeaderReason, string(answer.Reason))
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("Content-Length", strconv.Itoa(len(text)))
-	if seconds := retryAfter(answer); seconds > 0 {
-		header.Set("Retry-After", strconv.Itoa(seconds))
-	}
-	wr.WriteHeader(answer.Reason.Status())
-	_, _ = io.WriteString(wr, text)
-}
-
 // globalSource is the process's own random source, which is safe for concurrent use.
 type globalSource struct{}
 
 // Uint64 returns a random number.
 func (globalSource) Uint64() uint64 { return rand.Uint64() }
 
-func deadlineOf(header http.Header, limit time.Duration) (time.Duration, error) {
-	text := header.Get(outcome.HeaderDeadline)
+func (in *Ingress) deadlineOf(header http.Header, limit time.Duration) (time.Duration, error) {
+	name := in.opts.Dialect.Deadline
+	text := header.Get(name)
 	if text == "" {
 		return limit, nil
 	}
 	millis, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || millis < 1 || millis > int64(24*time.Hour/time.Millisecond) {
-		return 0, fmt.Errorf("%s: want milliseconds from 1 up", outcome.HeaderDeadline)
+		return 0, fmt.Errorf("%s: want milliseconds from 1 up", name)
 	}
 	return min(limit, time.Duration(millis)*time.Millisecond), nil
 }
 
-// dropHeaders are not passed on to upstreams.
-var dropHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", outcome.HeaderDeadline, "Cactus-Attempt"}
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", dialect.HeaderAttempt}
 
-func forwardHeader(header http.Header, internal bool) wire.Header {
+func (in *Ingress) forwardHeader(header http.Header, internal bool) wire.Header {
 	forward := wire.Header(header.Clone())
-	for _, name := range dropHeaders {
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			delete(forward, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
 		delete(forward, name)
 	}
+	delete(forward, in.opts.Dialect.Deadline)
+	if in.opts.Dialect.Origin != "" {
+		forward[in.opts.Dialect.Origin] = []string{in.opts.Dialect.OriginService}
+	}
 	if internal {
 		delete(forward, "Authorization")
 	}
@@ -286,14 +278,3 @@
 func newAttempt() string {
 	return uuid.NewString()
 }
-
-func retryAfter(answer wire.RunAnswer) int {
-	if answer.RetryAfter > 0 {
-		return int((answer.RetryAfter + time.Second - 1) / time.Second)
-	}
-	switch answer.Reason {
-	case outcome.NoSettings, outcome.NoUpstream, outcome.Stopping, outcome.Overloaded, outcome.Shed, outcome.ClaimFailed, outcome.Running, outcome.KeyClosed:
-		return 1
-	}
-	return 0
-}
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -15,13 +15,14 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
-	"cactusstream.example/cactusd/internal/fleet"
 	"cactusstream.example/cactusd/internal/ingress"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/auth"
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/clock"
+	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
+	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/link"
 	"cactusstream.example/core/member"
 	"cactusstream.example/core/metrics"
@@ -121,7 +122,7 @@
 	}
 	view := &fleet.View{Pools: map[string]*fleet.Pool{"s": pool}}
 	fi := &fixture{runner: &fakeRunner{answers: answers}, claims: &fakeClaims{grant: claim.Grant{Result: claim.Won}, releasable: true}}
-	fi.in = ingress.New(ingress.Options{
+	fi.in = ingress.New(ingress.Options{Dialect: dialect.DefaultCaller(),
 		Claims: fi.claims, Clock: clock.Real{}, Firm: "f", Place: "p", Holder: hol, Log: events.Discard(), Metrics: metrics.NewRegistry(),
 		Runner: fi.runner, Services: tokens, View: func() *fleet.View { return view }, Zone: "z",
 	})
--- a/cactusd/internal/ingress/once.go
+++ b/cactusd/internal/ingress/once.go
@@ -17,6 +17,14 @@
 // runOnce runs a non-idempotent request at most once: its key is claimed
 // first, and only proof that nothing ran permits another attempt.
 func (in *Ingress) runOnce(ctx context.Context, jo *job) wire.RunAnswer {
+	if in.opts.Claims == nil {
+		if refusal, refused := in.throttled(jo); refused {
+			return refusal
+		}
+		answer := in.tryUntilRun(ctx, jo)
+		in.throttle(jo).Note(in.opts.Clock.Now(), !isOverload(answer))
+		return answer
+	}
 	if !jo.keyed {
 		if refusal, refused := in.throttled(jo); refused {
 			return refusal
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -20,7 +20,9 @@
 
 // RunRequest asks the gate of an upstream to run one attempt.
 type RunRequest struct {
-	Attempt    string `codec:"a"`
+	Attempt string `codec:"a"`
+	// Request is the caller's id of the request, for logs.
+	Request    string `codec:"q,omitempty"`
 	Upstream   string `codec:"u"`
 	Service    string `codec:"s"`
 	Kind       string `codec:"k"`
@@ -31,6 +33,7 @@
 	// upstream is well again.
 	Trial     bool   `codec:"y"`
 	Method    string `codec:"m"`
+	Host      string `codec:"o,omitempty"`
 	URI       string `codec:"p"`
 	Header    Header `codec:"h"`
 	Body      []byte `codec:"b"`
--- a/cactuskeeper/internal/cmd/init.go
+++ b/cactuskeeper/internal/cmd/init.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
-	"cactusstream.example/cactuskeeper/internal/keeper"
+	"cactusstream.example/cactuskeeper/keeper"
 	"cactusstream.example/core/consensus"
 	"cactusstream.example/core/wal"
 )
--- a/cactuskeeper/internal/cmd/run.go
+++ b/cactuskeeper/internal/cmd/run.go
@@ -2,29 +2,15 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"os"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	keepersserver "cactusstream.example/core/gen/http/keepers/server"
-	settingsserver "cactusstream.example/core/gen/http/settings/server"
-	genkeepers "cactusstream.example/core/gen/keepers"
-	genprocess "cactusstream.example/core/gen/process"
-	gensettings "cactusstream.example/core/gen/settings"
-
-	"cactusstream.example/cactuskeeper/internal/keeper"
+	"cactusstream.example/cactuskeeper/server"
 	"cactusstream.example/core/auth"
-	"cactusstream.example/core/clock"
-	"cactusstream.example/core/consensus"
 	"cactusstream.example/core/events"
-	"cactusstream.example/core/link"
-	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/process"
-	"cactusstream.example/core/wal"
 )
 
 func newRunCmd() *cobra.Command {
@@ -47,17 +33,6 @@
 	return com
 }
 
-// keeperProcess is a keeper with its listeners.
-type keeperProcess struct {
-	cfg       *config
-	log       *events.Logger
-	keeper    *keeper.Keeper
-	pool      *link.Pool
-	links     *link.Server
-	peers     *process.Server
-	operators *process.Server
-}
-
 func run(ctx context.Context, cfg *config) error {
 	if ctx == nil {
 		ctx = context.Background()
@@ -69,26 +44,24 @@
 		return err
 	}
 	log = log.With(logrus.Fields{"program": "cactuskeeper", "id": cfg.ID})
-	kp, err := newKeeperProcess(ctx, cfg, log)
+	opts, err := optionsOf(cfg, log)
+	if err != nil {
+		return err
+	}
+	srv, err := server.New(ctx, opts)
 	if err != nil {
 		return err
 	}
-	for _, srv := range []*process.Server{kp.peers, kp.operators} {
-		if err := srv.Start(); err != nil {
-			return fmt.Errorf("run: %w", err)
-		}
+	if err := srv.Start(ctx); err != nil {
+		return err
 	}
-	ran := make(chan struct{})
-	go func() {
-		kp.keeper.Run(ctx)
-		close(ran)
-	}()
-	log.Write(events.ProcessStarted, logrus.Fields{"operators": cfg.OperatorAddress, "peers": cfg.PeerAddress})
 	process.WaitForStop(ctx, func() { log.Write(events.ProcessCut, nil) })
 	log.Write(events.ProcessStopping, nil)
-	err = kp.stop()
+	stopCtx, stopped := context.WithTimeout(context.Background(), cfg.StopBound)
+	defer stopped()
+	err = srv.Stop(stopCtx)
 	cancel()
-	<-ran
+	srv.Wait()
 	if err != nil {
 		log.Write(events.ProcessCut, logrus.Fields{"error": err.Error()})
 		return &process.ExitError{Code: process.ExitCut, Err: err}
@@ -97,69 +70,16 @@
 	return nil
 }
 
-// newKeeperProcess reads the files that the configuration names and opens the
-// data folder.
-func newKeeperProcess(ctx context.Context, cfg *config, log *events.Logger) (*keeperProcess, error) {
-	fleet, operators, err := cfg.OpenTokens()
-	if err != nil {
-		return nil, err
-	}
-	tlsFiles, err := cfg.TLS()
-	if err != nil {
-		return nil, err
-	}
-	key, err := auth.LoadPrivateKey(cfg.SigningKey)
-	if err != nil {
-		return nil, err
+// optionsOf reads the files that the configuration names.
+func optionsOf(cfg *config, log *events.Logger) (server.Options, error) {
+	opts := server.Options{Config: cfg.Config, DataFolder: cfg.DataFolder, Log: log}
+	var err error
+	if opts.FleetTokens, opts.OperatorTokens, err = cfg.OpenTokens(); err != nil {
+		return opts, err
 	}
-	disk, err := wal.OpenFolder(cfg.DataFolder)
-	if err != nil {
-		return nil, err
-	}
-	reg := metrics.NewRegistry()
-	mux := link.NewMux()
-	kp := &keeperProcess{cfg: cfg, log: log, pool: link.NewPool(cfg.ID, fleet, mux, link.WithTLS(tlsFiles.Client()))}
-	opts := consensus.DefaultOptions()
-	opts.Seed = uint64(time.Now().UnixNano())
-	kp.keeper, err = keeper.Open(ctx, keeper.Options{
-		Clock: clock.Real{}, Consensus: opts, Disk: disk, Log: log, Metrics: reg,
-		Mux: mux, PeerAddress: cfg.PeerAddress, Pool: kp.pool, SigningKey: key,
-	})
-	if err != nil {
-		return nil, err
-	}
-	kp.links = link.NewServer(mux, fleet, kp.refused)
-	kp.peers = process.NewServer(cfg.PeerAddress, kp.links, tlsFiles.Server(true))
-	kp.operators = process.NewServer(cfg.OperatorAddress, kp.operatorsHandler(operators, reg), tlsFiles.Server(false))
-	return kp, nil
-}
-
-// refused logs a call without a right credential.
-func (kp *keeperProcess) refused(req *http.Request) {
-	kp.log.Write(events.CredentialsRefused, logrus.Fields{"from": req.RemoteAddr, "path": req.URL.Path})
-}
-
-// stop finishes the changes under way and answers what operators have asked.
-func (kp *keeperProcess) stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), kp.cfg.StopBound)
-	defer cancel()
-	kp.keeper.Stop(ctx)
-	err := kp.operators.Shutdown(ctx)
-	kp.links.Close()
-	kp.peers.Close()
-	kp.pool.Close()
-	return err
-}
-
-func (kp *keeperProcess) operatorsHandler(tokens *auth.Tokens, reg *metrics.Registry) http.Handler {
-	started := time.Now()
-	status := func() *genprocess.StatusResult {
-		res := &genprocess.StatusResult{Program: "cactuskeeper", ID: kp.keeper.ID(), Zone: kp.cfg.Zone, UptimeSeconds: int64(time.Since(started).Seconds())}
-		kp.keeper.FillStatus(res)
-		return res
+	if opts.TLS, err = cfg.TLS(); err != nil {
+		return opts, err
 	}
-	ops := process.NewOperators(tokens, status, kp.keeper.Dump, reg)
-	process.Mount(ops.Mux(), settingsserver.New, settingsserver.Mount, gensettings.NewEndpoints(keeper.NewSettingsService(kp.keeper)))
-	process.Mount(ops.Mux(), keepersserver.New, keepersserver.Mount, genkeepers.NewEndpoints(keeper.NewMembersService(kp.keeper)))
-	return ops.Handler(kp.refused)
+	opts.SigningKey, err = auth.LoadPrivateKey(cfg.SigningKey)
+	return opts, err
 }
--- a/cactuskeeper/internal/keeper/identity.go
+++ b/cactuskeeper/keeper/identity.go
@@ -40,14 +40,35 @@
 		return Identity{}, ErrInitialised
 	}
 	ident := Identity{ID: id, Nonce: auth.NewToken(), Initial: initial}
+	if err := storeIdentity(disk, ident); err != nil {
+		return Identity{}, fmt.Errorf("initialise: %w", err)
+	}
+	return ident, nil
+}
+
+// EnsureIdentity gives an empty data folder an identity without a group, whose
+// id is made of a name and of the folder's own nonce.
+func EnsureIdentity(disk wal.Disk, name string) error {
+	if _, err := ReadIdentity(disk); !errors.Is(err, ErrNotInitialised) {
+		return err
+	}
+	ident := Identity{Nonce: auth.NewToken()}
+	ident.ID = fmt.Sprintf("%s-%s", name, ident.Nonce[:nonceInID])
+	return storeIdentity(disk, ident)
+}
+
+// nonceInID is how many characters of the nonce tell the disks of a VM apart.
+const nonceInID = 8
+
+func storeIdentity(disk wal.Disk, ident Identity) error {
 	data, err := codec.Marshal(ident)
 	if err != nil {
-		return Identity{}, fmt.Errorf("initialise: %w", err)
+		return fmt.Errorf("store identity: %w", err)
 	}
 	if err := disk.Replace(identityName, data); err != nil {
-		return Identity{}, fmt.Errorf("initialise: %w", err)
+		return fmt.Errorf("store identity: %w", err)
 	}
-	return ident, nil
+	return nil
 }
 
 // ReadIdentity returns the identity of a data folder.
--- a/cactuskeeper/internal/keeper/keeper.go
+++ b/cactuskeeper/keeper/keeper.go
@@ -28,6 +28,7 @@
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/link"
 	"cactusstream.example/core/metrics"
+	"cactusstream.example/core/regroup"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/spread"
 	"cactusstream.example/core/wal"
@@ -37,7 +38,8 @@
 	compactAfter  = 2000
 	firstChangeID = "cactusstream-first-tree"
 	greetEvery    = 500 * time.Millisecond
-	tickEvery     = 10 * time.Millisecond
+	reopenAfter   = 500 * time.Millisecond
+	tickEvery     = 20 * time.Millisecond
 	workQueue     = 1024
 )
 
@@ -53,15 +55,18 @@
 
 // Options are what a Keeper is made of.
 type Options struct {
-	Clock       clock.Clock
-	Consensus   consensus.Options
-	Disk        wal.Disk
-	Log         *events.Logger
-	Metrics     *metrics.Registry
-	Mux         *link.Mux
-	PeerAddress string
-	Pool        *link.Pool
-	SigningKey  ed25519.PrivateKey
+	Clock     clock.Clock
+	Consensus consensus.Options
+	Disk      wal.Disk
+	Log       *events.Logger
+	Metrics   *metrics.Registry
+	Group     GroupOptions
+	Mux       *link.Mux
+	// PeerAddress and OperatorAddress are where others reach this keeper.
+	PeerAddress     string
+	OperatorAddress string
+	Pool            *link.Pool
+	SigningKey      ed25519.PrivateKey
 }
 
 // Keeper is one keeper.
@@ -84,7 +89,9 @@
 	nextRead  uint64
 	lastRole  consensus.Role
 	greeted   time.Time
+	group     group
 	failed    error
+	failedAt  time.Time
 
 	mu    sync.RWMutex
 	store *settings.Store
@@ -135,17 +142,22 @@
 		waiting:   make(map[uint64]waiter),
 		reads:     make(map[uint64]chan error),
 		store:     settings.NewStore(),
+		group:     group{opts: opts.Group, callers: make(map[string]regroup.Caller)},
 	}
 	if err := ke.restore(state.Snapshot); err != nil {
 		return nil, fmt.Errorf("open keeper: %w", err)
 	}
 	tra.setAddresses(node.Config())
 	link.HandleNotice(opts.Mux, methodMessage, ke.receive)
+	link.HandleNotice(opts.Mux, methodCall, ke.heardCall)
 	spread.Serve(opts.Mux, ke.holder)
 	link.Handle(opts.Mux, spread.MethodNewest, ke.newest)
 	return ke, nil
 }
 
+// Holder returns what spreads the settings that this keeper knows to be accepted.
+func (ke *Keeper) Holder() *spread.Holder { return ke.holder }
+
 // ID returns the identity of the keeper.
 func (ke *Keeper) ID() string { return ke.ident.ID }
 
@@ -163,6 +175,10 @@
 	}
 	done := make(chan result, 1)
 	err = ke.do(ctx, func(now time.Time) {
+		if ke.isForming() {
+			done <- result{err: ErrForming}
+			return
+		}
 		index, term, err := ke.node.Propose(now, data)
 		if err != nil {
 			done <- result{err: err}
@@ -222,10 +238,11 @@
 			_ = ke.log.Close()
 			return
 		}
-		if ke.failed != nil {
+		if ke.failed != nil && !ke.reopen() {
 			continue
 		}
 		ke.greet()
+		ke.regroup(ke.opts.Clock.Now())
 		ke.node.Tick(ke.opts.Clock.Now())
 		if err := ke.flush(); err != nil {
 			ke.fail(err)
@@ -292,6 +309,7 @@
 
 func (ke *Keeper) fail(err error) {
 	ke.failed = err
+	ke.failedAt = ke.opts.Clock.Now()
 	ke.opts.Log.Write(events.KeeperDiskFailed, logrus.Fields{"error": err.Error()})
 	for index, wai := range ke.waiting {
 		wai.done <- result{err: ErrUnknown}
@@ -303,6 +321,42 @@
 	}
 }
 
+// reopen reads the disk again a while after it failed, and goes on from what it
+// holds, as after a restart: what was not stored was never sent.
+func (ke *Keeper) reopen() bool {
+	now := ke.opts.Clock.Now()
+	if now.Sub(ke.failedAt) < reopenAfter {
+		return false
+	}
+	ke.failedAt = now
+	_ = ke.log.Close() // It failed already.
+	log, state, err := wal.Open(ke.opts.Disk)
+	if err != nil {
+		ke.opts.Log.Write(events.KeeperDiskFailed, logrus.Fields{"error": err.Error()})
+		return false
+	}
+	ke.log = log
+	if state.Snapshot.Index == 0 {
+		state.Snapshot.Config = ke.ident.Initial
+	}
+	node, err := consensus.NewNode(ke.ident.ID, state, ke.opts.Consensus, now)
+	if err != nil {
+		ke.opts.Log.Write(events.KeeperDiskFailed, logrus.Fields{"error": err.Error()})
+		return false
+	}
+	ke.node = node
+	ke.mu.Lock()
+	ke.store = settings.NewStore()
+	ke.mu.Unlock()
+	if err := ke.restore(state.Snapshot); err != nil {
+		ke.opts.Log.Write(events.KeeperDiskFailed, logrus.Fields{"error": err.Error()})
+		return false
+	}
+	ke.failed = nil
+	ke.opts.Log.Write(events.KeeperReopened, logrus.Fields{"term": node.Term()})
+	return true
+}
+
 // flush stores, sends and applies until nothing is left to do.
 func (ke *Keeper) flush() error {
 	for {
--- a/core/auth/auth.go
+++ b/core/auth/auth.go
@@ -46,6 +46,12 @@
 	return to, nil
 }
 
+// NewTokens returns tokens that no file holds, for a network that only the fleet
+// can reach: they keep strangers' connections apart and are no secret.
+func NewTokens(tokens ...string) *Tokens {
+	return &Tokens{tokens: tokens}
+}
+
 // Accepts says whether a request carries one of the tokens.
 func (to *Tokens) Accepts(req *http.Request) bool {
 	given, ok := strings.CutPrefix(req.Header.Get("Authorization"), bearerPrefix)
@@ -109,6 +115,9 @@
 // reload reads the file when it changed; a file that can't be read leaves the
 // tokens as they are.
 func (to *Tokens) reload() {
+	if to.path == "" {
+		return
+	}
 	info, err := os.Stat(to.path)
 	if err != nil || info.ModTime().Equal(to.changed) {
 		return
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -111,6 +111,17 @@
 // Term returns the current term.
 func (no *Node) Term() uint64 { return no.hard.Term }
 
+// Found makes a node that knows of no group the first voter of one, and lets it
+// stand for election at once. The caller has stored the group already.
+func (no *Node) Found(now time.Time, group Config) {
+	if len(no.Config().Members) > 0 || no.log.lastIndex() > 0 {
+		return
+	}
+	no.configs = []configAt{{config: group}}
+	no.snap.Config = group
+	no.electionAt = now
+}
+
 // LogLength returns the number of entries after the snapshot.
 func (no *Node) LogLength() int { return len(no.log.entries) }
 
--- a/cactusd/internal/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -48,14 +48,15 @@
 
 // Options are what a Fleet is made of.
 type Options struct {
-	Clock    clock.Clock
-	Holder   *spread.Holder
-	Log      *events.Logger
-	Metrics  *metrics.Registry
-	Mux      *link.Mux
-	Pool     *link.Pool
-	Self     member.Record
-	Seeds    []string
+	Clock   clock.Clock
+	Holder  *spread.Holder
+	Log     *events.Logger
+	Metrics *metrics.Registry
+	Mux     *link.Mux
+	Pool    *link.Pool
+	Self    member.Record
+	// Seeds returns peer addresses where members of the fleet may be.
+	Seeds    func() []string
 	Tokens   *auth.Tokens
 	Firm     string
 	Place    string
--- a/cactusd/internal/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -64,7 +64,7 @@
 
 func (fl *Fleet) otherSeeds() []string {
 	var seeds []string
-	for _, seed := range fl.opts.Seeds {
+	for _, seed := range fl.opts.Seeds() {
 		if seed != fl.opts.Self.PeerAddress {
 			seeds = append(seeds, seed)
 		}
--- a/cactusd/internal/fleet/view.go
+++ b/core/fleet/view.go
@@ -47,6 +47,8 @@
 	Pools    map[string]*Pool
 	Members  map[string]member.Record
 	Settings uint64
+	// Keepers are the peer addresses of the keepers that are not gone.
+	Keepers  []string
 	revision uint64
 }
 
@@ -58,6 +60,9 @@
 		if rec.Status == member.Left {
 			continue
 		}
+		if rec.Keeper && rec.Status < member.Dead {
+			vi.Keepers = append(vi.Keepers, rec.PeerAddress)
+		}
 		for _, up := range rec.Upstreams {
 			vi.add(rec, up)
 		}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -72,6 +72,8 @@
 	Version         Version    `codec:"v"`
 	Status          Status     `codec:"t"`
 	Upstreams       []Upstream `codec:"u,omitempty"`
+	// Keeper says that the process is a keeper; it has no upstreams.
+	Keeper bool `codec:"k,omitempty"`
 }
 
 // IsOlder says whether a version comes before another.
--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -37,21 +37,27 @@
 }
 
 var keys = []Key{
-	intKey("bodyLimit", "bytes", 0, 1<<20, "262144", LevelKind, "Largest body of a request or an answer.", func(po *Policy) *int { return &po.BodyLimit }),
+	annotationsKey(),
+	intKey("bodyLimit", "bytes", 0, 64<<20, "262144", LevelKind, "Largest body of a request or an answer.", func(po *Policy) *int { return &po.BodyLimit }),
 	claimHoldersKey(),
-	durationKey("deadline", 10*time.Millisecond, 10*time.Minute, "5s", LevelKind, "Longest that a request may take, queues and attempts included.", func(po *Policy) *time.Duration { return &po.Deadline }),
+	intKey("coldPercent", "percent", 0, 100, "0", LevelService, "Share of its slots that an upstream uses while it says that it is cold; 0 sends it no work.", func(po *Policy) *int { return &po.ColdPercent }),
+	durationKey("deadline", time.Millisecond, 24*time.Hour, "5s", LevelKind, "Longest that a request may take, queues and attempts included.", func(po *Policy) *time.Duration { return &po.Deadline }),
 	durationKey("ejectBase", 100*time.Millisecond, time.Hour, "10s", LevelService, "First stay away of an ejected upstream; doubles when it flaps.", func(po *Policy) *time.Duration { return &po.EjectBase }),
 	durationKey("ejectMax", time.Second, 24*time.Hour, "5m0s", LevelService, "Longest stay away of an ejected upstream.", func(po *Policy) *time.Duration { return &po.EjectMax }),
 	floatKey("ejectThreshold", "log-likelihood", 1, 50, "7", LevelService, "Evidence that ejects an upstream; higher ejects later and less often by mistake.", func(po *Policy) *float64 { return &po.EjectThreshold }),
 	intKey("floorEndpoints", "endpoints", 0, 10000, "1", LevelService, "Endpoints of a service that ejection leaves in use.", func(po *Policy) *int { return &po.FloorEndpoints }),
 	intKey("floorPercent", "percent", 0, 100, "60", LevelService, "Share of a service's announced slots that ejection leaves in use.", func(po *Policy) *int { return &po.FloorPercent }),
+	rootDurationKey("headerTimeout", time.Millisecond, time.Hour, "5s", "Longest that a caller may take to send the head of a request.", func(po *Policy) *time.Duration { return &po.HeaderTimeout }),
+	healthPathKey(),
+	hostKey(),
 	boolKey("idempotent", "false", "Whether a request may run more than once.", func(po *Policy) *bool { return &po.Idempotent }),
+	rootDurationKey("idleTimeout", time.Millisecond, time.Hour, "2m0s", "How long a caller's connection may stay idle.", func(po *Policy) *time.Duration { return &po.IdleTimeout }),
 	boolKey("internal", "false", "Whether only our own services may ask, by credential.", func(po *Policy) *bool { return &po.Internal }),
-	choiceKey("method", []string{"GET", "POST", "PUT", "PATCH", "DELETE"}, "GET", LevelKind, "HTTP method of the kind's requests.", func(po *Policy) *string { return &po.Method }),
+	choiceKey("method", []string{AnyMethod, "GET", "POST", "PUT", "PATCH", "DELETE"}, "GET", LevelKind, "HTTP method of the kind's requests.", func(po *Policy) *string { return &po.Method }),
 	pathKey(),
 	intKey("queueLimit", "requests", 0, 100000, "64", LevelService, "Requests that may wait for one endpoint.", func(po *Policy) *int { return &po.QueueLimit }),
 	intKey("rank", "rank", 0, RankCount-1, "2", LevelKind, "Rank of the work; 0 is the most urgent.", func(po *Policy) *int { return &po.Rank }),
-	intKey("retryAttempts", "attempts", 1, 10, "3", LevelKind, "Attempts at most for one request.", func(po *Policy) *int { return &po.RetryAttempts }),
+	intKey("retryAttempts", "attempts", 1, 1000, "3", LevelKind, "Attempts at most for one request.", func(po *Policy) *int { return &po.RetryAttempts }),
 	intKey("retryPercent", "percent", 0, 100, "10", LevelService, "Further attempts, as a share of a service's requests.", func(po *Policy) *int { return &po.RetryPercent }),
 	intKey("share0", "percent", 0, 100, "40", LevelService, "Share of the slots that rank 0 keeps while others flood.", func(po *Policy) *int { return &po.Share[0] }),
 	intKey("share1", "percent", 0, 100, "20", LevelService, "Share of the slots that rank 1 keeps while others flood.", func(po *Policy) *int { return &po.Share[1] }),
@@ -59,11 +65,15 @@
 	intKey("share3", "percent", 0, 100, "5", LevelService, "Share of the slots that rank 3 keeps while others flood.", func(po *Policy) *int { return &po.Share[3] }),
 	floatKey("slowFactor", "times", 1.5, 100, "3", LevelService, "How many times the siblings' median latency counts as slow.", func(po *Policy) *float64 { return &po.SlowFactor }),
 	durationKey("slowStart", 0, time.Hour, "5s", LevelService, "Time over which a warm upstream grows to its full share.", func(po *Policy) *time.Duration { return &po.SlowStart }),
-	durationKey("target", time.Millisecond, time.Minute, "250ms", LevelKind, "Latency that the kind should meet.", func(po *Policy) *time.Duration { return &po.Target }),
+	splitKey(),
+	durationKey("target", time.Millisecond, 24*time.Hour, "250ms", LevelKind, "Latency that the kind should meet.", func(po *Policy) *time.Duration { return &po.Target }),
 	intKey("trialSuccesses", "requests", 1, 1000, "5", LevelService, "Idempotent requests in a row that bring an ejected upstream back.", func(po *Policy) *int { return &po.TrialSuccesses }),
 	intKey("zoneSpillPercent", "percent", 0, 1000, "80", LevelService, "Load of the own availability zone from which work goes to others.", func(po *Policy) *int { return &po.ZoneSpillPercent }),
 }
 
+// AnyMethod stands for every HTTP method.
+const AnyMethod = "ANY"
+
 // KeyClaimHolders is the key of the table of claim holders.
 const KeyClaimHolders = "claimHolders"
 
@@ -95,6 +105,17 @@
 	return [...]string{"root", "firm", "place", "service", "kind"}[le]
 }
 
+func annotationsKey() Key {
+	const allowed = "text of one line"
+	return Key{Name: "annotations", Unit: "text", Range: allowed, Default: "", Highest: LevelFirm, Lowest: LevelKind, Text: "What a writer of the settings keeps beside them; the fleet does not use it.", parse: func(po *Policy, value string) error {
+		if strings.ContainsAny(value, "\r\n") {
+			return fmt.Errorf("annotations = %q: want %s", value, allowed)
+		}
+		po.Annotations = value
+		return nil
+	}}
+}
+
 func boolKey(name, def, text string, target func(*Policy) *bool) Key {
 	return Key{Name: name, Unit: "truth", Range: "true or false", Default: def, Highest: LevelFirm, Lowest: LevelKind, Text: text, parse: func(po *Policy, value string) error {
 		truth, err := strconv.ParseBool(value)
@@ -152,6 +173,28 @@
 	}}
 }
 
+func healthPathKey() Key {
+	const allowed = "empty, or a path such as /health"
+	return Key{Name: "healthPath", Unit: "path", Range: allowed, Default: "", Highest: LevelFirm, Lowest: LevelService, Text: "Path at which an upstream answers health checks; empty asks none.", parse: func(po *Policy, value string) error {
+		if value != "" && !strings.HasPrefix(value, "/") {
+			return fmt.Errorf("healthPath = %q: want %s", value, allowed)
+		}
+		po.HealthPath = value
+		return nil
+	}}
+}
+
+func hostKey() Key {
+	const allowed = "empty, or a host name without a port"
+	return Key{Name: "host", Unit: "name", Range: allowed, Default: "", Highest: LevelKind, Lowest: LevelKind, Text: "Host of the kind's requests; empty means every host.", parse: func(po *Policy, value string) error {
+		if strings.ContainsAny(value, " /:?#") {
+			return fmt.Errorf("host = %q: want %s", value, allowed)
+		}
+		po.Host = strings.ToLower(value)
+		return nil
+	}}
+}
+
 func indexKeys() map[string]Key {
 	byName := make(map[string]Key, len(keys))
 	for _, key := range keys {
@@ -173,12 +216,31 @@
 }
 
 func pathKey() Key {
-	const allowed = "a path such as /catalogo/stock, without a slash at its end"
+	const allowed = "a path such as /catalogo/stock; with a slash at its end it matches only what lies below it"
 	return Key{Name: "path", Unit: "path", Range: allowed, Default: "", Highest: LevelKind, Lowest: LevelKind, Text: "Path prefix, in whole segments, of the kind's requests.", parse: func(po *Policy, value string) error {
-		if !strings.HasPrefix(value, "/") || strings.HasSuffix(value, "/") || strings.Contains(value, "//") || strings.ContainsAny(value, " ?#%") {
+		if !strings.HasPrefix(value, "/") || strings.Contains(value, "//") || strings.ContainsAny(value, " ?#%") {
 			return fmt.Errorf("path = %q: want %s", value, allowed)
 		}
 		po.Path = value
 		return nil
 	}}
 }
+
+// rootDurationKey returns a duration that only the root may set.
+func rootDurationKey(name string, low, high time.Duration, def, text string, target func(*Policy) *time.Duration) Key {
+	key := durationKey(name, low, high, def, LevelKind, text, target)
+	key.Lowest = LevelRoot
+	return key
+}
+
+func splitKey() Key {
+	const allowed = "empty, or SERVICE:WEIGHT with spaces between, with a weight above 0 among them"
+	return Key{Name: "split", Unit: "weights", Range: allowed, Default: "", Highest: LevelKind, Lowest: LevelKind, Text: "Services that share the kind's requests, by weight; empty means the kind's own service.", parse: func(po *Policy, value string) error {
+		split, err := ParseSplit(value)
+		if err != nil {
+			return fmt.Errorf("split = %q: %w; want %s", value, err, allowed)
+		}
+		po.Split = split
+		return nil
+	}}
+}
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -11,8 +11,15 @@
 
 // Policy is the effective settings of one kind of request.
 type Policy struct {
+	Annotations      string
+	Host             string
 	Method           string
 	Path             string
+	Split            Split
+	HealthPath       string
+	HeaderTimeout    time.Duration
+	IdleTimeout      time.Duration
+	ColdPercent      int
 	Idempotent       bool
 	Internal         bool
 	Rank             int
--- a/core/settings/resolver_test.go
+++ b/core/settings/resolver_test.go
@@ -127,7 +127,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			path, found := routes.Find(tc.firm, "north", "GET", tc.path)
+			path, found := routes.Find(settings.Request{Firm: tc.firm, Place: "north", Method: "GET", Path: tc.path})
 			is.Equal(found, tc.found)
 			is.Equal(path.Service, tc.service)
 			is.Equal(path.Kind, tc.kind)
@@ -162,7 +162,7 @@
 	routes := settings.NewResolver(largeTree()).Routes()
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, ok := routes.Find("firm1", "north", "GET", "/service7/kind7/more/segments"); !ok {
+		if _, ok := routes.Find(settings.Request{Firm: "firm1", Place: "north", Method: "GET", Path: "/service7/kind7/more/segments"}); !ok {
 			b.Fatal("no route")
 		}
 	}
--- a/core/settings/store.go
+++ b/core/settings/store.go
@@ -24,6 +24,8 @@
 	Reason  string        `codec:"reason"`
 	Time    time.Time     `codec:"time"`
 	Edits   []AppliedEdit `codec:"edits"`
+	// Label is the writer's own number of the change; 0 means that it has none.
+	Label uint64 `codec:"label,omitempty"`
 }
 
 // ConflictError says that a change lost a race, and to which one.
@@ -46,6 +48,11 @@
 	Edits  []Edit    `codec:"edits"`
 	// Expect is the version that the change was made, and checked, against.
 	Expect uint64 `codec:"expect"`
+	// Label is a number that the writer chose, above the newest one, and Base the
+	// label that the change builds on. The id of a labelled change stands for its
+	// whole content. Label 0 means none.
+	Label uint64 `codec:"label,omitempty"`
+	Base  uint64 `codec:"base,omitempty"`
 }
 
 // State is everything that a Store holds, for snapshots.
@@ -62,6 +69,7 @@
 	digest  string
 	history []Change
 	byID    map[string]int
+	label   uint64
 }
 
 // ErrReused reports a change id that was accepted with other edits.
@@ -84,6 +92,7 @@
 	st.history = state.History
 	for i, change := range st.history {
 		st.byID[change.ID] = i
+		st.label = max(st.label, change.Label)
 	}
 	return st
 }
@@ -105,7 +114,7 @@
 func (st *Store) Apply(pro Proposal) (Change, bool, error) {
 	if at, known := st.byID[pro.ID]; known {
 		first := st.history[at]
-		if !sameEdits(first.Edits, pro.Edits) {
+		if pro.Label == 0 && !sameEdits(first.Edits, pro.Edits) {
 			return Change{}, false, ErrReused
 		}
 		return first, true, nil
@@ -113,7 +122,10 @@
 	if pro.Expect != st.Version() {
 		return Change{}, false, &ConflictError{Version: st.Version(), LostTo: st.lostTo(pro.Expect)}
 	}
-	change := Change{Version: st.Version() + 1, ID: pro.ID, From: st.Version(), Author: pro.Author, Reason: pro.Reason, Time: pro.Time}
+	if pro.Label != 0 && pro.Base != st.label {
+		return Change{}, false, &ConflictError{Version: st.Version(), LostTo: st.lostTo(pro.Expect)}
+	}
+	change := Change{Version: st.Version() + 1, ID: pro.ID, From: st.Version(), Author: pro.Author, Reason: pro.Reason, Time: pro.Time, Label: pro.Label}
 	for _, edit := range pro.Edits {
 		before, had := st.tree.Nodes[edit.Path][edit.Key]
 		change.Edits = append(change.Edits, AppliedEdit{Edit: edit, Before: before, HadAny: had})
@@ -121,6 +133,7 @@
 	st.tree = st.tree.Apply(pro.Edits)
 	st.digest = ""
 	st.byID[change.ID] = len(st.history)
+	st.label = max(st.label, change.Label)
 	st.history = append(st.history, change)
 	return change, false, nil
 }
@@ -139,6 +152,9 @@
 
 // Check says whether a proposal's edits are valid against the whole tree.
 func (st *Store) Check(pro Proposal) error {
+	if pro.Label != 0 && pro.Label <= st.label {
+		return &InvalidError{Faults: []string{fmt.Sprintf("label %d: the newest one is %d", pro.Label, st.label)}}
+	}
 	seen := make(map[string]bool)
 	for _, edit := range pro.Edits {
 		name := edit.Path + "\x00" + edit.Key
@@ -162,6 +178,15 @@
 	return st.digest
 }
 
+// Find returns the accepted change of an id.
+func (st *Store) Find(id string) (Change, bool) {
+	at, known := st.byID[id]
+	if !known {
+		return Change{}, false
+	}
+	return st.history[at], true
+}
+
 // History returns the accepted changes, oldest first. Callers must not change it.
 func (st *Store) History() []Change {
 	return st.history
@@ -173,6 +198,19 @@
 	return known
 }
 
+// Label returns the newest number that a writer chose for a change, or 0.
+func (st *Store) Label() uint64 {
+	return st.label
+}
+
+// Last returns the newest change.
+func (st *Store) Last() Change {
+	if len(st.history) == 0 {
+		return Change{}
+	}
+	return st.history[len(st.history)-1]
+}
+
 // LastSet returns the newest change that set a key of a node.
 func (st *Store) LastSet(path, key string) (Change, bool) {
 	for i := len(st.history) - 1; i >= 0; i-- {
@@ -212,10 +250,7 @@
 	if expect < st.Version() {
 		return st.history[expect]
 	}
-	if len(st.history) == 0 {
-		return Change{}
-	}
-	return st.history[len(st.history)-1]
+	return st.Last()
 }
 
 // checkHolders refuses a table of claim holders that does not follow the one in
