--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -184,15 +184,31 @@
 
 // run takes a slot, sends the request and judges the answer.
 func (gu *guard) run(ctx context.Context, req wire.RunRequest) wire.RunAnswer {
+	arrived := gu.opts.Clock.Now()
 	if refusal, refused := gu.admit(ctx, req); refused {
-		return gu.withLoad(req.Kind, refusal)
+		refusal = gu.withLoad(req.Kind, refusal)
+		gu.note(req, refusal, arrived, gu.opts.Clock.Now())
+		return refusal
 	}
 	started := gu.opts.Clock.Now()
 	watch := gu.watchSlow(req)
 	answer, res := gu.client.send(ctx, req)
 	slow := watch.stop()
 	gu.finish(req, started, health.Result{Failed: res.failed, Slow: slow, Idempotent: req.Idempotent}, res)
-	return gu.withLoad(req.Kind, answer)
+	answer = gu.withLoad(req.Kind, answer)
+	gu.note(req, answer, arrived, started)
+	return answer
+}
+
+// note logs how an attempt ended and what it met.
+func (gu *guard) note(req wire.RunRequest, answer wire.RunAnswer, arrived, started time.Time) {
+	now := gu.opts.Clock.Now()
+	gu.opts.Log.Write(events.AttemptEnded, logrus.Fields{
+		"request": req.Request, "upstream": gu.ann.ID, "service": req.Service, "kind": req.Kind, "rank": req.Rank, "idempotent": req.Idempotent,
+		"trial": req.Trial, "outcome": answer.Outcome, "reason": answer.Reason, "status": answer.Status, "detail": answer.Detail,
+		"waitedMillis": started.Sub(arrived).Milliseconds(), "tookMillis": now.Sub(started).Milliseconds(),
+		"remainingMillis": req.Remaining.Milliseconds(), "running": answer.Load.Running, "waiting": answer.Load.Waiting,
+	})
 }
 
 // admit waits for a slot. A refusal proves that nothing was sent.
--- a/cactusd/internal/ingress/answer.go
+++ b/cactusd/internal/ingress/answer.go
@@ -59,14 +59,17 @@
 // note counts an answer and logs one that the fleet gave itself.
 func (in *Ingress) note(jo *job, answer wire.RunAnswer) {
 	in.opts.Metrics.Counter("ingress.outcome." + string(answer.Outcome)).Inc(1)
+	fields := logrus.Fields{
+		"request": jo.id, "service": jo.path.Service, "kind": jo.path.Kind, "outcome": answer.Outcome, "attempts": jo.attempts,
+		"endpoints": jo.tried, "heldMillis": in.opts.Clock.Now().Sub(jo.arrived).Milliseconds(), "settings": in.opts.Holder.Current().Version,
+	}
 	if answer.Outcome == outcome.Ran {
+		fields["status"] = answer.Status
+		in.opts.Log.Write(events.RequestEnded, fields)
 		return
 	}
-	in.opts.Log.Write(events.RequestFailed, logrus.Fields{
-		"request": jo.id, "service": jo.path.Service, "kind": jo.path.Kind, "outcome": answer.Outcome, "reason": answer.Reason,
-		"detail": answer.Detail, "attempts": jo.attempts, "heldMillis": in.opts.Clock.Now().Sub(jo.arrived).Milliseconds(),
-		"retryAfterMillis": answer.RetryAfter.Milliseconds(),
-	})
+	fields["reason"], fields["detail"], fields["retryAfterMillis"] = answer.Reason, answer.Detail, answer.RetryAfter.Milliseconds()
+	in.opts.Log.Write(events.RequestFailed, fields)
 	in.opts.Metrics.Counter("ingress.reason." + string(answer.Reason)).Inc(1)
 }
 
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -72,6 +72,7 @@
 // another upstream when the budget allows it.
 func (in *Ingress) try(ctx context.Context, jo *job, cho choice) tried {
 	jo.attempts++
+	jo.tried = append(jo.tried, cho.end.Key)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan wire.RunAnswer, 1)
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -97,6 +97,8 @@
 	// keyed says that the caller chose the key, and so may send it again.
 	keyed    bool
 	attempts int
+	// tried are the endpoints that attempts went to, for the log.
+	tried []string
 }
 
 const defaultFirm = settings.AnyName
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -32,6 +33,7 @@
 	ProcessStopped     = define(102, "processStopped", logrus.InfoLevel, "A process finished its work and exits.")
 	ProcessCut         = define(103, "processCut", logrus.ErrorLevel, "The bound of a stop passed and requests in flight were cut.")
 	ProcessReloaded    = define(104, "processReloaded", logrus.InfoLevel, "A process read its settings file again.")
+	LinesLeftOut       = define(105, "linesLeftOut", logrus.WarnLevel, "More lines came in a second than the process may log; so many were left out.")
 	SettingsInForce    = define(200, "settingsInForce", logrus.InfoLevel, "A version of the settings is in force in this process.")
 	SettingsRefused    = define(201, "settingsRefused", logrus.WarnLevel, "Received settings failed the check of integrity, origin or version.")
 	SettingsAccepted   = define(202, "settingsAccepted", logrus.InfoLevel, "The keepers accepted a change.")
@@ -42,8 +44,10 @@
 	UpstreamSick       = define(303, "upstreamSick", logrus.WarnLevel, "The gate judged its upstream sick.")
 	UpstreamRecovered  = define(304, "upstreamRecovered", logrus.InfoLevel, "Real work showed that an upstream is well again.")
 	UpstreamTrial      = define(305, "upstreamTrial", logrus.InfoLevel, "An ejected upstream gets a little work on trial.")
-	RequestFailed      = define(400, "requestFailed", logrus.DebugLevel, "A request was answered with an error.")
+	RequestFailed      = define(400, "requestFailed", logrus.InfoLevel, "A request was answered with an error of the fleet.")
 	HolderReady        = define(401, "holderReady", logrus.InfoLevel, "A claim holder votes for keys made after its start.")
+	RequestEnded       = define(402, "requestEnded", logrus.InfoLevel, "A request was answered with what an upstream answered.")
+	AttemptEnded       = define(403, "attemptEnded", logrus.InfoLevel, "An attempt at an upstream ended, or its gate refused it.")
 	KeeperLeader       = define(500, "keeperLeader", logrus.InfoLevel, "This keeper became the leader.")
 	KeeperFollower     = define(501, "keeperFollower", logrus.InfoLevel, "This keeper follows a leader or looks for one.")
 	KeeperDiskFailed   = define(502, "keeperDiskFailed", logrus.ErrorLevel, "The disk of the keeper failed; it acknowledges nothing more.")
@@ -67,6 +71,7 @@
 // Logger writes numbered events.
 type Logger struct {
 	entry *logrus.Entry
+	limit *allowance
 }
 
 // Discard returns a Logger that writes nothing, for tests.
@@ -98,11 +103,20 @@
 
 // With returns a Logger that adds fields to every event.
 func (lo *Logger) With(fields logrus.Fields) *Logger {
-	return &Logger{entry: lo.entry.WithFields(fields)}
+	return &Logger{entry: lo.entry.WithFields(fields), limit: lo.limit}
 }
 
 // Write logs an event.
 func (lo *Logger) Write(event Event, fields logrus.Fields) {
+	if lo.limit != nil {
+		ok, leftOut := lo.limit.take(time.Now(), isImportant(event))
+		if leftOut > 0 {
+			lo.entry.WithFields(logrus.Fields{"event": LinesLeftOut.Number, "lines": leftOut}).Log(LinesLeftOut.Level, LinesLeftOut.Name)
+		}
+		if !ok {
+			return
+		}
+	}
 	lo.entry.WithFields(fields).WithField("event", event.Number).Log(event.Level, event.Name)
 }
 
