feat: doubt upstreams in a bout of failures after one fast failure

Ruled out: health checks (they pass in a bout). Change: a two-state filter per upstream; work that may run once only goes elsewhere with proof, work that may be repeated tries.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	da.gate = gate.New(gate.Options{Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, Changed: da.announce})
+	da.gate = gate.New(gate.Options{Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, Changed: da.announce, CallFailed: func() time.Time { return da.ingress.FailedAt() }})
 	ingressOpts := ingress.Options{
 		Clock: opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Holder: da.holder, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
 		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -59,6 +59,9 @@
 	Metrics *metrics.Registry
 	// Policy returns the settings of a service's pool.
 	Policy func(service string) *settings.Policy
+	// CallFailed returns when a caller on the own VM was last answered with a
+	// failure; nil where that is not known.
+	CallFailed func() time.Time
 	// Changed is told when what stands beside the daemon has changed.
 	Changed func()
 }
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -10,6 +10,7 @@
 
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/events"
+	"cactusstream.example/core/gray"
 	"cactusstream.example/core/health"
 	"cactusstream.example/core/member"
 	"cactusstream.example/core/outcome"
@@ -33,6 +34,7 @@
 	mu       sync.Mutex
 	queue    *rankqueue.Queue
 	judge    *health.Judge
+	filter   *gray.Filter
 	kinds    map[string]*health.Latency
 	warmAt   time.Time
 	readyAt  time.Time
@@ -42,6 +44,7 @@
 	leaving  bool
 	leftAt   time.Time
 	trying   bool
+	doubtful bool
 	last     health.State
 }
 
@@ -54,6 +57,7 @@
 		client:   newUpstreamClient(ann, opts.Dialect),
 		queue:    rankqueue.New(ann.Slots, queuePolicy(policy)),
 		judge:    health.NewJudge(healthPolicy(policy)),
+		filter:   gray.NewFilter(grayPolicy(policy)),
 		kinds:    make(map[string]*health.Latency),
 		warmAt:   now.Add(ann.Cold),
 		readyAt:  now.Add(ann.Cold),
@@ -117,6 +121,7 @@
 	expired := !gu.leaving && now.Sub(gu.renewed) > Lease
 	policy := gu.opts.Policy(gu.ann.Service)
 	gu.judge.SetPolicy(healthPolicy(policy))
+	gu.filter.SetPolicy(grayPolicy(policy))
 	gu.queue.SetPolicy(queuePolicy(policy))
 	warmed := !gu.warmAt.IsZero() && !now.Before(gu.warmAt)
 	if warmed {
@@ -132,9 +137,10 @@
 
 // noteState logs a change of the judge's state; the caller holds the lock.
 func (gu *guard) noteState(now time.Time) bool {
+	changed := gu.noteDoubt(now)
 	state := gu.judge.State(now)
 	if state == gu.last {
-		return false
+		return changed
 	}
 	event := events.UpstreamRecovered
 	switch state {
@@ -164,6 +170,9 @@
 		rec.State = member.Cold
 		rec.Reason = "cold start"
 		rec.SinceMS = gu.renewed.UnixMilli()
+	case state == health.Well && gu.doubtful:
+		rec.State = member.Doubtful
+		rec.Reason = "in a bout of failures"
 	case state == health.Well:
 		rec.SinceMS = gu.readyAt.UnixMilli()
 		if since := gu.judge.Since(); since.After(gu.readyAt) {
@@ -215,7 +224,7 @@
 func (gu *guard) admit(ctx context.Context, req wire.RunRequest) (wire.RunAnswer, bool) {
 	decided := make(chan rankqueue.Decision, 1)
 	now := gu.opts.Clock.Now()
-	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Decided: func(dec rankqueue.Decision) { decided <- dec }}
+	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Once: !req.Idempotent && !req.Forced, Decided: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
 	if refusal, refused := gu.refusal(now, req); refused {
 		gu.mu.Unlock()
@@ -241,7 +250,10 @@
 	if now.Before(gu.warmAt) && gu.opts.Policy(gu.ann.Service).ColdPercent == 0 {
 		return wire.NotRun(outcome.NoUpstream, "the upstream is cold"), true
 	}
-	if !req.Trial {
+	if gu.filter.IsDoubtful(now) && !req.Forced {
+		return gu.tryDoubtful(now, req)
+	}
+	if !req.Trial || gu.judge.State(now) == health.Well {
 		return wire.RunAnswer{}, false
 	}
 	if gu.trying {
@@ -253,6 +265,18 @@
 	return wire.RunAnswer{}, false
 }
 
+// tryDoubtful lets a little work that may be repeated through to a doubtful
+// upstream; the caller holds the lock.
+func (gu *guard) tryDoubtful(now time.Time, req wire.RunRequest) (wire.RunAnswer, bool) {
+	if !req.Idempotent || !gu.filter.IsTrialDue(now) {
+		answer := wire.NotRun(outcome.Doubtful, "the upstream is in a bout of failures")
+		answer.RetryAfter = gu.filter.TrialIn(now)
+		return answer, true
+	}
+	gu.filter.BeginTrial(now)
+	return wire.RunAnswer{}, false
+}
+
 func (gu *guard) await(ctx context.Context, item *rankqueue.Item, decided <-chan rankqueue.Decision) rankqueue.Decision {
 	timer := time.NewTimer(item.Deadline.Sub(gu.opts.Clock.Now()))
 	defer timer.Stop()
@@ -278,6 +302,9 @@
 	if leaving {
 		return wire.NotRun(outcome.Stopping, "the upstream is leaving")
 	}
+	if dec == rankqueue.RefuseDoubtful {
+		return wire.NotRun(outcome.Doubtful, "a bout of failures began while the request waited")
+	}
 	gu.opts.Metrics.Counter("gate.refused").Inc(1)
 	answer := wire.NotRun(outcome.Overloaded, "the queue of the upstream is full")
 	if dec == rankqueue.RefuseDeadline {
@@ -292,6 +319,10 @@
 	gu.mu.Lock()
 	now := gu.opts.Clock.Now()
 	took := now.Sub(started)
+	gu.filter.EndTrial()
+	if !sent.abandoned {
+		gu.observe(now, started, req, sent)
+	}
 	gu.queue.Done(now, took)
 	if !sent.shed && !sent.abandoned {
 		gu.judge.ObserveEnd(now, req.Baseline, res)
@@ -339,7 +370,11 @@
 	for _, count := range gu.queue.Waiting() {
 		waiting += count
 	}
-	answer.Load = wire.Load{Running: gu.queue.Running(), Waiting: waiting}
+	now := gu.opts.Clock.Now()
+	answer.Load = wire.Load{Running: gu.queue.Running(), Waiting: waiting, Doubtful: gu.filter.IsDoubtful(now)}
+	if answer.Load.Doubtful {
+		answer.Load.TrialIn = gu.filter.TrialIn(now)
+	}
 	answer.Stats = wire.Stats{Median: gu.kind(kind).Median(), ErrorRate: gu.judge.ErrorRate()}
 	return answer
 }
@@ -367,6 +402,6 @@
 	return map[string]any{
 		"id": gu.ann.ID, "service": gu.ann.Service, "address": gu.ann.Address, "slots": gu.ann.Slots,
 		"state": rec.State.String(), "reason": rec.Reason, "running": gu.queue.Running(),
-		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.judge.ErrorRate(), "reportedBusy": gu.reported,
+		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.judge.ErrorRate(), "boutEstimate": gu.filter.Estimate(gu.opts.Clock.Now()), "reportedBusy": gu.reported,
 	}
 }
--- a/cactusd/internal/gate/slowwatch.go
+++ b/cactusd/internal/gate/slowwatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/gray"
 )
 
 const (
@@ -63,6 +64,7 @@
 	gu.mu.Lock()
 	now := gu.opts.Clock.Now()
 	gu.judge.ObserveSlow(now, req.Baseline)
+	gu.filter.Observe(now, now, gray.Overdue)
 	changed := gu.noteState(now)
 	gu.mu.Unlock()
 	if changed {
--- a/cactusd/internal/ingress/answer.go
+++ b/cactusd/internal/ingress/answer.go
@@ -18,6 +18,9 @@
 // write sends an answer to the caller.
 func (in *Ingress) write(wr http.ResponseWriter, jo *job, answer wire.RunAnswer) {
 	in.note(jo, answer)
+	if !isGood(answer) {
+		in.failedAt.Store(in.opts.Clock.Now().UnixNano())
+	}
 	header := wr.Header()
 	if !in.opts.Dialect.IsPlain {
 		header.Set(outcome.HeaderAttempts, strconv.Itoa(jo.attempts))
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/link"
 	"cactusstream.example/core/outcome"
 )
@@ -32,23 +33,22 @@
 	if refusal, refused := in.throttled(jo); refused {
 		return refusal
 	}
-	in.budget(jo.path.Service).Deposit(jo.pool.RetryPercent)
-	seen := make(map[string]bool)
-	last := wire.NotRun(outcome.NoUpstream, "no upstream of the service can be reached")
+	in.deposit(jo)
+	sea := in.newSearch(jo)
 	mayHaveRun := false
-	for jo.attempts < jo.policy.RetryAttempts && ctx.Err() == nil {
-		cho, ok := in.choose(jo, seen)
+	for {
+		cho, ok := sea.next(ctx)
 		if !ok {
 			break
 		}
-		seen[cho.end.Key] = true
 		try := in.try(ctx, jo, cho)
-		last = try.answer
-		mayHaveRun = mayHaveRun || last.Outcome != outcome.NotRun
-		if isGood(last) || !try.paid && !in.mayRepeat(jo, cho, last) {
+		sea.last = try.answer
+		mayHaveRun = mayHaveRun || sea.last.Outcome != outcome.NotRun
+		if isGood(sea.last) || !try.paid && !in.mayRepeat(jo, cho, sea.last) {
 			break
 		}
 	}
+	last := sea.last
 	if last.Outcome == outcome.NotRun && mayHaveRun {
 		last.Outcome = outcome.Unknown
 	}
@@ -59,13 +59,13 @@
 // mayRepeat says whether another upstream may be tried. Refusals that cost no
 // upstream anything need no budget.
 func (in *Ingress) mayRepeat(jo *job, cho choice, last wire.RunAnswer) bool {
-	if cho.trial {
+	if cho.trial && cho.end.State != fleet.StateDoubtful {
 		return true
 	}
 	if last.Outcome == outcome.NotRun && !isOverload(last) {
 		return true
 	}
-	return in.budget(jo.path.Service).Withdraw()
+	return in.budget(jo).Withdraw()
 }
 
 // try sends one attempt. An idempotent one that lasts too long is given up for
@@ -77,24 +77,33 @@
 	defer cancel()
 	done := make(chan wire.RunAnswer, 1)
 	go func() { done <- in.send(ctx, jo, cho) }()
-	if !jo.policy.Idempotent || jo.attempts >= jo.policy.RetryAttempts {
-		return tried{answer: <-done}
+	if !jo.policy.Idempotent || jo.sent+1 >= jo.policy.RetryAttempts {
+		return in.ended(jo, <-done)
 	}
 	patience := time.NewTimer(patienceFactor * jo.policy.Target)
 	defer patience.Stop()
 	select {
 	case answer := <-done:
-		return tried{answer: answer}
+		return in.ended(jo, answer)
 	case <-patience.C:
 	}
-	if in.hasOther(jo, cho) && (cho.trial || in.budget(jo.path.Service).Withdraw()) {
+	if in.hasOther(jo, cho) && (cho.trial || in.budget(jo).Withdraw()) {
+		jo.sent++
 		return tried{answer: wire.Unknown(outcome.Deadline, "the upstream took too long"), paid: true}
 	}
-	return tried{answer: <-done}
+	return in.ended(jo, <-done)
+}
+
+// ended counts an attempt that may have reached an upstream.
+func (in *Ingress) ended(jo *job, answer wire.RunAnswer) tried {
+	if answer.Outcome != outcome.NotRun {
+		jo.sent++
+	}
+	return tried{answer: answer}
 }
 
 func (in *Ingress) hasOther(jo *job, cho choice) bool {
-	_, ok := in.choose(jo, map[string]bool{cho.end.Key: true})
+	_, ok := in.choose(jo, map[string]bool{cho.end.Key: true}, false)
 	return ok
 }
 
@@ -104,7 +113,7 @@
 	req := jo.run
 	req.Attempt = newAttempt()
 	req.Upstream = cho.end.Upstream.ID
-	req.Trial = cho.trial
+	req.Trial, req.Forced = cho.trial, cho.forced
 	req.Remaining = jo.deadline.Sub(now) - answerMargin
 	req.Baseline = in.tracker.baseline(now, in.siblings(jo.path.Service, cho.end.Key), req.Kind)
 	if req.Remaining <= 0 {
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -13,6 +13,13 @@
 	// trial; of the most urgent rank it is less.
 	trialShare       = 0.05
 	urgentTrialShare = 0.01
+	// doubtTrialShare is the share of idempotent requests that try a doubtful
+	// upstream whose trial is due: bouts end after seconds, and capacity that is
+	// back should be known soon.
+	doubtTrialShare = 0.5
+	// trialReserve is what the retry budget must hold for such a trial: its own
+	// repeat, and one for a request that fails by chance.
+	trialReserve = 2
 	// heldWeight makes sick upstreams that the floor keeps in use get less work
 	// than well ones.
 	heldWeight = 0.3
@@ -22,51 +29,75 @@
 type choice struct {
 	end   fleet.Endpoint
 	trial bool
+	// forced says that the endpoint is doubtful and no other is left.
+	forced bool
 }
 
 // choose returns an endpoint that was not tried yet. Endpoints behind a path
-// that failed lately, or a daemon that may be gone, come last.
-func (in *Ingress) choose(jo *job, tried map[string]bool) (choice, bool) {
+// that failed lately, or a daemon that may be gone, come last. Doubtful ones get
+// trials, and other work only when it is a last resort.
+func (in *Ingress) choose(jo *job, tried map[string]bool, lastResort bool) (choice, bool) {
 	pool := in.opts.View().Pools[jo.path.Service]
 	if pool == nil {
 		return choice{}, false
 	}
 	now := in.opts.Clock.Now()
-	if end, ok := in.chooseTrial(jo, pool, tried); ok {
+	if end, ok := in.chooseTrial(now, jo, pool, tried); ok {
 		return choice{end: end, trial: true}, true
 	}
-	var good, doubtful []fleet.Endpoint
+	var good, doubtful, unreached []fleet.Endpoint
 	for _, end := range pool.Endpoints {
-		cold := end.State == fleet.StateCold && jo.pool.ColdPercent > 0
-		if tried[end.Key] || end.State != fleet.StateReady && end.State != fleet.StateHeldByFloor && !cold {
-			continue
-		}
-		if end.Suspect || !in.tracker.isPathGood(now, end.Daemon) {
+		switch {
+		case tried[end.Key] || !in.isUsable(jo, end):
+		case end.Suspect || !in.tracker.isPathGood(now, end.Daemon):
+			unreached = append(unreached, end)
+		case end.State == fleet.StateDoubtful:
 			doubtful = append(doubtful, end)
-		} else {
+		default:
 			good = append(good, end)
 		}
 	}
-	if len(good) == 0 {
-		good = doubtful
+	forced := false
+	if len(good) == 0 && lastResort {
+		good, forced = doubtful, true
+	}
+	if len(good) == 0 && len(doubtful) == 0 {
+		good = unreached
 	}
 	at := pick.Choose(rand.New(globalSource{}), in.candidates(now, jo, good), pick.Policy{Zone: in.opts.Zone, SpillPercent: jo.pool.ZoneSpillPercent})
 	if at < 0 {
 		return choice{}, false
 	}
-	return choice{end: good[at]}, true
+	return choice{end: good[at], forced: forced}, true
 }
 
-func (in *Ingress) chooseTrial(jo *job, pool *fleet.Pool, tried map[string]bool) (fleet.Endpoint, bool) {
-	if !jo.policy.Idempotent || len(tried) > 0 {
+// isUsable says whether an endpoint may get work of a request at all.
+func (in *Ingress) isUsable(jo *job, end fleet.Endpoint) bool {
+	switch end.State {
+	case fleet.StateReady, fleet.StateHeldByFloor, fleet.StateDoubtful:
+		return true
+	case fleet.StateCold:
+		return jo.pool.ColdPercent > 0
+	}
+	return false
+}
+
+func (in *Ingress) chooseTrial(now time.Time, jo *job, pool *fleet.Pool, tried map[string]bool) (fleet.Endpoint, bool) {
+	if !jo.policy.Idempotent || len(tried) > 0 || jo.policy.RetryAttempts < 2 {
 		return fleet.Endpoint{}, false
 	}
 	share := trialShare
 	if jo.policy.Rank == 0 {
 		share = urgentTrialShare
 	}
-	for _, end := range pool.Endpoints {
-		if end.State == fleet.StateTrial && rand.Float64() < share {
+	mayDoubt := in.budget(jo).Left() >= trialReserve
+	first := rand.IntN(max(len(pool.Endpoints), 1))
+	for i := range pool.Endpoints {
+		end := pool.Endpoints[(first+i)%len(pool.Endpoints)]
+		switch {
+		case end.State == fleet.StateTrial && rand.Float64() < share:
+			return end, true
+		case end.State == fleet.StateDoubtful && mayDoubt && !end.Suspect && in.tracker.isTrialDue(now, end.Key) && rand.Float64() < doubtTrialShare:
 			return end, true
 		}
 	}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -75,8 +75,9 @@
 	opts      Options
 	tracker   *tracker
 	draining  atomic.Bool
-	budgets   sync.Map // Of *budget.Budget, by service.
-	throttles sync.Map // Of *throttle.Throttle, by limitKey.
+	failedAt  atomic.Int64 // Unix nanoseconds of the last answer that was a failure.
+	budgets   sync.Map     // Of *budget.Budget, by service.
+	throttles sync.Map     // Of *throttle.Throttle, by limitKey.
 }
 
 type limitKey struct {
@@ -97,6 +98,8 @@
 	// keyed says that the caller chose the key, and so may send it again.
 	keyed    bool
 	attempts int
+	// sent counts the attempts that may have reached an upstream.
+	sent int
 	// tried are the endpoints that attempts went to, for the log.
 	tried []string
 }
@@ -113,6 +116,11 @@
 	in.draining.Store(true)
 }
 
+// FailedAt returns when a caller was last answered with a failure.
+func (in *Ingress) FailedAt() time.Time {
+	return time.Unix(0, in.failedAt.Load())
+}
+
 // Dump returns what the ingress knows of the endpoints that it uses.
 func (in *Ingress) Dump() map[string]any {
 	return in.tracker.dump()
@@ -220,11 +228,21 @@
 	return th.(*throttle.Throttle)
 }
 
-func (in *Ingress) budget(service string) *budget.Budget {
-	bud, _ := in.budgets.LoadOrStore(service, &budget.Budget{})
+func (in *Ingress) budget(jo *job) *budget.Budget {
+	bud, _ := in.budgets.LoadOrStore(jo.path.Service, &budget.Budget{})
 	return bud.(*budget.Budget)
 }
 
+// deposit adds what a request brings to the budget of its service, and this
+// daemon's part of the service's slack.
+func (in *Ingress) deposit(jo *job) {
+	bud := in.budget(jo)
+	bud.Deposit(jo.pool.RetryPercent)
+	if daemons := in.opts.View().Daemons; jo.pool.RetrySlack > 0 && daemons > 0 {
+		bud.DepositTime(in.opts.Clock.Now(), float64(jo.pool.RetrySlack)/float64(daemons))
+	}
+}
+
 // globalSource is the process's own random source, which is safe for concurrent use.
 type globalSource struct{}
 
--- a/cactusd/internal/ingress/once.go
+++ b/cactusd/internal/ingress/once.go
@@ -71,21 +71,18 @@
 
 // tryUntilRun tries upstreams as long as each one proves that it ran nothing.
 func (in *Ingress) tryUntilRun(ctx context.Context, jo *job) wire.RunAnswer {
-	in.budget(jo.path.Service).Deposit(jo.pool.RetryPercent)
-	seen := make(map[string]bool)
-	last := wire.NotRun(outcome.NoUpstream, "no upstream of the service can be reached")
-	for jo.attempts < jo.policy.RetryAttempts && ctx.Err() == nil {
-		cho, ok := in.choose(jo, seen)
+	in.deposit(jo)
+	sea := in.newSearch(jo)
+	for {
+		cho, ok := sea.next(ctx)
 		if !ok {
-			break
+			return sea.last
 		}
-		seen[cho.end.Key] = true
-		last = in.try(ctx, jo, cho).answer
-		if last.Outcome != outcome.NotRun || !in.mayRepeat(jo, cho, last) {
-			break
+		sea.last = in.try(ctx, jo, cho).answer
+		if sea.last.Outcome != outcome.NotRun || !in.mayRepeat(jo, cho, sea.last) {
+			return sea.last
 		}
 	}
-	return last
 }
 
 // release gives back the key of a request that was not run. Without a majority
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -36,7 +36,11 @@
 	// as carried on the last answer.
 	others float64
 	at     time.Time
-	stats  map[string]carriedStats
+	// doubtful is what the gate said last of its upstream, and trialAt when it
+	// may get a trial.
+	doubtful bool
+	trialAt  time.Time
+	stats    map[string]carriedStats
 }
 
 type carriedStats struct {
@@ -97,6 +101,8 @@
 	}
 	end.others = math.Max(0, float64(answer.Load.Running+answer.Load.Waiting-end.own))
 	end.at = now
+	end.doubtful = answer.Load.Doubtful
+	end.trialAt = now.Add(answer.Load.TrialIn)
 	if len(end.stats) >= maxStats {
 		clear(end.stats)
 	}
@@ -126,6 +132,15 @@
 	return float64(end.own) + end.others*fade
 }
 
+// isTrialDue says whether a doubtful endpoint may get a trial, as far as this
+// ingress knows.
+func (tr *tracker) isTrialDue(now time.Time, key string) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	end := tr.ends[key]
+	return end == nil || !now.Before(end.trialAt)
+}
+
 // isPathGood says whether a daemon could be reached lately.
 func (tr *tracker) isPathGood(now time.Time, daemon string) bool {
 	tr.mu.Lock()
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -31,7 +31,9 @@
 	Idempotent bool   `codec:"i"`
 	// Trial says that the request is one of the few that show whether a sick
 	// upstream is well again.
-	Trial     bool   `codec:"y"`
+	Trial bool `codec:"y"`
+	// Forced says that no better upstream is left, so that a doubtful one must do.
+	Forced    bool   `codec:"z,omitempty"`
 	Method    string `codec:"m"`
 	Host      string `codec:"o,omitempty"`
 	URI       string `codec:"p"`
@@ -48,6 +50,9 @@
 type Load struct {
 	Running int `codec:"r"`
 	Waiting int `codec:"w"`
+	// Doubtful says that the upstream gets only trials, the next one in TrialIn.
+	Doubtful bool          `codec:"d,omitempty"`
+	TrialIn  time.Duration `codec:"t,omitempty"`
 }
 
 // Stats is how an upstream does one kind of work.
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -7,7 +7,10 @@
 //	if bud.Withdraw() { ... } // for each further attempt
 package budget
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const maxTokens = 10
 
@@ -17,6 +20,7 @@
 type Budget struct {
 	mu     sync.Mutex
 	tokens float64
+	filled time.Time
 }
 
 // Deposit adds a share of one attempt, in percent.
@@ -26,6 +30,24 @@
 	bu.tokens = min(bu.tokens+float64(percent)/100, maxTokens)
 }
 
+// DepositTime adds what a rate, in attempts a minute, has brought since the
+// last call; the first call adds nothing.
+func (bu *Budget) DepositTime(now time.Time, perMinute float64) {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	if !bu.filled.IsZero() && now.After(bu.filled) {
+		bu.tokens = min(bu.tokens+perMinute*now.Sub(bu.filled).Minutes(), maxTokens)
+	}
+	bu.filled = now
+}
+
+// Left returns the attempts that may still be repeated.
+func (bu *Budget) Left() float64 {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	return bu.tokens
+}
+
 // Withdraw takes one attempt out and says whether there was one.
 func (bu *Budget) Withdraw() bool {
 	bu.mu.Lock()
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -44,6 +44,8 @@
 	UpstreamSick       = define(303, "upstreamSick", logrus.WarnLevel, "The gate judged its upstream sick.")
 	UpstreamRecovered  = define(304, "upstreamRecovered", logrus.InfoLevel, "Real work showed that an upstream is well again.")
 	UpstreamTrial      = define(305, "upstreamTrial", logrus.InfoLevel, "An ejected upstream gets a little work on trial.")
+	UpstreamDoubtful   = define(306, "upstreamDoubtful", logrus.InfoLevel, "The gate takes its upstream to be in a bout of failures; only work that may be repeated tries it.")
+	UpstreamTrusted    = define(307, "upstreamTrusted", logrus.InfoLevel, "The gate takes the bout of failures of its upstream to be over.")
 	RequestFailed      = define(400, "requestFailed", logrus.InfoLevel, "A request was answered with an error of the fleet.")
 	HolderReady        = define(401, "holderReady", logrus.InfoLevel, "A claim holder votes for keys made after its start.")
 	RequestEnded       = define(402, "requestEnded", logrus.InfoLevel, "A request was answered with what an upstream answered.")
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -14,6 +14,7 @@
 // The states of an endpoint.
 const (
 	StateCold        State = "cold"
+	StateDoubtful    State = "doubtful"
 	StateDraining    State = "draining"
 	StateEjected     State = "ejected"
 	StateHeldByFloor State = "heldByFloor"
@@ -48,7 +49,9 @@
 	Members  map[string]member.Record
 	Settings uint64
 	// Keepers are the peer addresses of the keepers that are not gone.
-	Keepers  []string
+	Keepers []string
+	// Daemons counts the daemons that are not gone.
+	Daemons  int
 	revision uint64
 }
 
@@ -63,6 +66,9 @@
 		if rec.Keeper && rec.Status < member.Dead {
 			vi.Keepers = append(vi.Keepers, rec.PeerAddress)
 		}
+		if !rec.Keeper && rec.Status < member.Dead {
+			vi.Daemons++
+		}
 		for _, up := range rec.Upstreams {
 			vi.add(rec, up)
 		}
@@ -92,7 +98,7 @@
 		sick := end.State == StateEjected || end.State == StateTrial
 		ends = append(ends, floor.Endpoint{
 			ID: end.Key, Slots: end.Upstream.Slots, Sick: sick, Severity: end.Upstream.Severity,
-			Available: !end.Suspect && (sick || end.State == StateReady),
+			Available: !end.Suspect && (sick || end.State == StateReady || end.State == StateDoubtful),
 		})
 	}
 	po.Floor = floor.Decide(ends, floor.Policy{Percent: policy.FloorPercent, Endpoints: policy.FloorEndpoints})
@@ -126,6 +132,8 @@
 		return StateEjected
 	case member.Trial:
 		return StateTrial
+	case member.Doubtful:
+		return StateDoubtful
 	}
 	return StateReady
 }
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -38,6 +38,8 @@
 	Draining
 	Sick
 	Trial
+	// Doubtful upstreams get only work that may be repeated, and little of it.
+	Doubtful
 )
 
 // Upstream is one endpoint, as the daemon beside it announces it.
@@ -106,7 +108,7 @@
 
 // String names the state.
 func (up UpstreamState) String() string {
-	return [...]string{"cold", "ready", "draining", "sick", "trial"}[min(up, Trial)]
+	return [...]string{"cold", "ready", "draining", "sick", "trial", "doubtful"}[min(up, Doubtful)]
 }
 
 // String names the status.
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -43,6 +43,7 @@
 	ClaimFailed    Reason = "claimFailed"
 	Credentials    Reason = "credentials"
 	Deadline       Reason = "deadline"
+	Doubtful       Reason = "doubtful"
 	KeyClosed      Reason = "keyClosed"
 	KeyTooOld      Reason = "keyTooOld"
 	LinkLost       Reason = "linkLost"
@@ -75,7 +76,7 @@
 		return http.StatusTooManyRequests
 	case LinkLost, UpstreamFailed:
 		return http.StatusBadGateway
-	case ClaimFailed, NoSettings, NoUpstream, Stopping:
+	case ClaimFailed, Doubtful, NoSettings, NoUpstream, Stopping:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusInternalServerError
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -27,6 +27,7 @@
 	Wait
 	RefuseFull
 	RefuseDeadline
+	RefuseDoubtful
 )
 
 // Policy is the limits of a queue.
@@ -42,6 +43,8 @@
 	Rank     int
 	Firm     string
 	Deadline time.Time
+	// Once says that the work may run once only.
+	Once bool
 	// Decided is told once what became of an item that waited.
 	Decided func(Decision)
 }
@@ -124,6 +127,22 @@
 	}
 }
 
+// RefuseIf refuses the waiting items that match, as when the upstream must not
+// get such work any more.
+func (qu *Queue) RefuseIf(dec Decision, matches func(*Item) bool) {
+	for rank := range qu.ranks {
+		for firm, items := range qu.ranks[rank].firms {
+			for at := len(items) - 1; at >= 0; at-- {
+				if item := items[at]; matches(item) {
+					qu.removeAt(rank, firm, at)
+					items = qu.ranks[rank].firms[firm]
+					item.Decided(dec)
+				}
+			}
+		}
+	}
+}
+
 // RefuseAll refuses everything that waits, as when the upstream leaves.
 func (qu *Queue) RefuseAll(dec Decision) {
 	for qu.waiting > 0 {
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -20,6 +20,9 @@
 	HeaderTimeout    time.Duration
 	IdleTimeout      time.Duration
 	ColdPercent      int
+	BoutLength       time.Duration
+	CalmLength       time.Duration
+	DoubtPercent     int
 	Idempotent       bool
 	Internal         bool
 	Rank             int
@@ -37,6 +40,7 @@
 	SlowStart        time.Duration
 	RetryAttempts    int
 	RetryPercent     int
+	RetrySlack       int
 	QueueLimit       int
 	ZoneSpillPercent int
 	ClaimHolders     claim.Table
