--- a/cactusd/internal/gate/doubt.go
+++ b/cactusd/internal/gate/doubt.go
@@ -55,7 +55,7 @@
 		event = events.UpstreamDoubtful
 		gu.queue.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return item.Once })
 	}
-	gu.opts.Log.Write(event, logrus.Fields{"upstream": gu.ann.ID, "service": gu.ann.Service, "estimate": gu.filter.Estimate(now)})
+	gu.opts.Log.Write(event, logrus.Fields{"upstream": gu.ann.ID, "service": gu.ann.Service, "estimate": gu.filter.Estimate(now), "evidence": gu.filter.LastEvidence().String()})
 	return true
 }
 
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -319,7 +319,6 @@
 	gu.mu.Lock()
 	now := gu.opts.Clock.Now()
 	took := now.Sub(started)
-	gu.filter.EndTrial()
 	if !sent.abandoned {
 		gu.observe(now, started, req, sent)
 	}
--- a/cactusd/internal/gate/slowwatch.go
+++ b/cactusd/internal/gate/slowwatch.go
@@ -45,8 +45,8 @@
 		if sw.stopped {
 			return
 		}
+		gu.observeSlow(req, !sw.slow)
 		sw.slow = true
-		gu.observeSlow(req)
 		sw.arm(gu, req, lasted*(slowStepFactor-1), lasted*slowStepFactor, steps-1)
 	})
 }
@@ -60,11 +60,15 @@
 	return sw.slow
 }
 
-func (gu *guard) observeSlow(req wire.RunRequest) {
+// observeSlow takes work that has lasted too long; isFirst says that it was not
+// taken before.
+func (gu *guard) observeSlow(req wire.RunRequest, isFirst bool) {
 	gu.mu.Lock()
 	now := gu.opts.Clock.Now()
 	gu.judge.ObserveSlow(now, req.Baseline)
-	gu.filter.Observe(now, now, gray.Overdue)
+	if isFirst {
+		gu.filter.Observe(now, now, gray.Overdue)
+	}
 	changed := gu.noteState(now)
 	gu.mu.Unlock()
 	if changed {
--- a/core/gray/gray.go
+++ b/core/gray/gray.go
@@ -42,6 +42,11 @@
 	evidenceCount
 )
 
+// String names the evidence.
+func (ev Evidence) String() string {
+	return [...]string{"done", "failedFast", "failedLate", "overdue", "shed"}[min(ev, Shed)]
+}
+
 // Policy is what is assumed of bouts.
 type Policy struct {
 	// DoubtPercent is the estimate from which an upstream is doubtful; 0 means
@@ -62,7 +67,7 @@
 	failedAt time.Time
 	trialAt  time.Time
 	pause    time.Duration
-	inTrial  bool
+	last     Evidence
 }
 
 // likelihood is how probable evidence is in a bout and in calm.
@@ -76,7 +81,7 @@
 	Done:       {0.15, 0.98},
 	FailedFast: {0.80, 0.005},
 	FailedLate: {0.03, 0.015},
-	Overdue:    {0.40, 0.05},
+	Overdue:    {0.30, 0.10},
 	Shed:       {0.50, 0.03},
 }
 
@@ -101,14 +106,11 @@
 
 // BeginTrial notes that work was sent to a doubtful upstream.
 func (fi *Filter) BeginTrial(now time.Time) {
-	fi.inTrial = true
 	fi.trialAt = now.Add(fi.pause)
 }
 
-// EndTrial notes that a trial ended, however it ended.
-func (fi *Filter) EndTrial() {
-	fi.inTrial = false
-}
+// LastEvidence returns what was observed last.
+func (fi *Filter) LastEvidence() Evidence { return fi.last }
 
 // Estimate returns the probability of a bout at a time.
 func (fi *Filter) Estimate(now time.Time) float64 {
@@ -135,7 +137,7 @@
 
 // IsTrialDue says whether a doubtful upstream may get one piece of work.
 func (fi *Filter) IsTrialDue(now time.Time) bool {
-	return !fi.inTrial && !now.Before(fi.trialAt)
+	return !now.Before(fi.trialAt)
 }
 
 // Observe takes evidence of work that began at a time. Work that began before
@@ -145,6 +147,7 @@
 	if evidence == Done && started.Before(fi.failedAt) {
 		return
 	}
+	fi.last = evidence
 	like := likelihoods[evidence]
 	bout := fi.estimate * like.bout
 	fi.estimate = bound(bout / (bout + (1-fi.estimate)*like.calm))
