feat: place requests by quotes of a few gates and refuse at once what can't end in time

Change: gates quote the wait of a rank before a body travels; work needs its usual time before its deadline; failed work no longer shortens the estimate of waits; sheds are no evidence of a bout, as nothing is lost by them.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -140,6 +140,9 @@
 	link.Handle(mux, wire.MethodRun, func(ctx context.Context, _ string, req wire.RunRequest) (wire.RunAnswer, error) {
 		return da.gate.Run(ctx, req), nil
 	})
+	link.Handle(mux, wire.MethodQuote, func(_ context.Context, _ string, req wire.QuoteRequest) (wire.QuoteAnswer, error) {
+		return da.gate.Quote(req), nil
+	})
 	da.callers = process.NewServer(opts.CallerAddress, da.ingress, nil)
 	da.peers = process.NewServer(opts.Config.PeerAddress, da.links, opts.TLS.Server(true))
 	da.operators = process.NewServer(opts.Config.OperatorAddress, da.operatorsHandler(), opts.TLS.Server(false))
--- a/cactusd/daemon/runner.go
+++ b/cactusd/daemon/runner.go
@@ -23,3 +23,11 @@
 	}
 	return link.Call[wire.RunRequest, wire.RunAnswer](ctx, ru.pool, end.PeerAddress, wire.MethodRun, req)
 }
+
+// Quote asks the daemon beside an endpoint how long a request would wait.
+func (ru *runner) Quote(ctx context.Context, end fleet.Endpoint, req wire.QuoteRequest) (wire.QuoteAnswer, error) {
+	if end.Daemon == ru.self {
+		return ru.gate.Quote(req), nil
+	}
+	return link.Call[wire.QuoteRequest, wire.QuoteAnswer](ctx, ru.pool, end.PeerAddress, wire.MethodQuote, req)
+}
--- a/cactusd/internal/gate/doubt.go
+++ b/cactusd/internal/gate/doubt.go
@@ -28,10 +28,8 @@
 	took := now.Sub(started)
 	evidence := gray.Done
 	switch {
-	case sent.shed && gu.queue.Running() <= gu.ann.Slots:
-		evidence = gray.Shed
 	case sent.shed:
-		return
+		return // It proves that nothing ran, so nothing is lost.
 	case sent.failed && gu.opts.CallFailed != nil && now.Sub(gu.opts.CallFailed()) < blameWindow:
 		return
 	case sent.failed && took <= max(fastBound, time.Duration(fastShare*float64(gu.kind(req.Kind).Median()))):
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -23,6 +23,9 @@
 	// announcements that were late or repeated can't bring it back.
 	gonePatience = 5 * time.Second
 	maxKinds     = 256
+	// needShare of a kind's median is what its work must have left: half of it
+	// ends sooner than the median.
+	needShare = 0.7
 )
 
 // guard is one upstream with its slots, its queue and its judge.
@@ -230,6 +233,7 @@
 		gu.mu.Unlock()
 		return refusal, true
 	}
+	item.Need = gu.need(req.Kind)
 	dec := gu.queue.Add(now, item)
 	gu.mu.Unlock()
 	if dec == rankqueue.Wait {
@@ -314,6 +318,12 @@
 	return answer
 }
 
+// need returns how long a kind of work must be expected to take here; the
+// caller holds the lock.
+func (gu *guard) need(kind string) time.Duration {
+	return time.Duration(needShare * float64(gu.kind(kind).Median()))
+}
+
 // finish gives the slot back and tells the judge.
 func (gu *guard) finish(req wire.RunRequest, started time.Time, res health.Result, sent sendResult) {
 	gu.mu.Lock()
@@ -322,7 +332,11 @@
 	if !sent.abandoned {
 		gu.observe(now, started, req, sent)
 	}
-	gu.queue.Done(now, took)
+	held := took
+	if sent.failed || sent.shed || sent.abandoned {
+		held = 0
+	}
+	gu.queue.Done(now, held)
 	if !sent.shed && !sent.abandoned {
 		gu.judge.ObserveEnd(now, req.Baseline, res)
 		if !res.Failed {
@@ -365,17 +379,21 @@
 func (gu *guard) withLoad(kind string, answer wire.RunAnswer) wire.RunAnswer {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	waiting := 0
+	answer.Load = gu.load(gu.opts.Clock.Now())
+	answer.Stats = wire.Stats{Median: gu.kind(kind).Median(), ErrorRate: gu.judge.ErrorRate()}
+	return answer
+}
+
+// load returns what the upstream has to do; the caller holds the lock.
+func (gu *guard) load(now time.Time) wire.Load {
+	load := wire.Load{Running: gu.queue.Running(), Doubtful: gu.filter.IsDoubtful(now)}
 	for _, count := range gu.queue.Waiting() {
-		waiting += count
+		load.Waiting += count
 	}
-	now := gu.opts.Clock.Now()
-	answer.Load = wire.Load{Running: gu.queue.Running(), Waiting: waiting, Doubtful: gu.filter.IsDoubtful(now)}
-	if answer.Load.Doubtful {
-		answer.Load.TrialIn = gu.filter.TrialIn(now)
+	if load.Doubtful {
+		load.TrialIn = gu.filter.TrialIn(now)
 	}
-	answer.Stats = wire.Stats{Median: gu.kind(kind).Median(), ErrorRate: gu.judge.ErrorRate()}
-	return answer
+	return load
 }
 
 func (gu *guard) waitIdle(ctx context.Context) error {
--- /dev/null
+++ b/cactusd/internal/gate/quote.go
@@ -0,0 +1,30 @@
+package gate
+
+import (
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/outcome"
+)
+
+// Quote says how long a request would wait at an upstream, or why it is refused
+// there. It promises nothing.
+func (ga *Gate) Quote(req wire.QuoteRequest) wire.QuoteAnswer {
+	gu, ok := ga.find(req.Upstream)
+	if !ok {
+		return wire.QuoteAnswer{Refused: outcome.NoUpstream}
+	}
+	return gu.quote(req)
+}
+
+func (gu *guard) quote(req wire.QuoteRequest) wire.QuoteAnswer {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	now := gu.opts.Clock.Now()
+	ans := wire.QuoteAnswer{Wait: gu.queue.Wait(req.Rank), Need: gu.need(req.Kind), Load: gu.load(now)}
+	switch {
+	case gu.leaving:
+		ans.Refused = outcome.Stopping
+	case ans.Load.Doubtful && (!req.Idempotent || !gu.filter.IsTrialDue(now)):
+		ans.Refused = outcome.Doubtful
+	}
+	return ans
+}
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -62,8 +62,8 @@
 	if cho.trial && cho.end.State != fleet.StateDoubtful {
 		return true
 	}
-	if last.Outcome == outcome.NotRun && !isOverload(last) {
-		return true
+	if last.Outcome == outcome.NotRun && (!isOverload(last) || jo.pool.Quotes > 0 && last.Reason == outcome.Overloaded) {
+		return true // Its gate refused it: no upstream had to.
 	}
 	return in.budget(jo).Withdraw()
 }
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -33,9 +33,32 @@
 	forced bool
 }
 
-// choose returns an endpoint that was not tried yet. Endpoints behind a path
-// that failed lately, or a daemon that may be gone, come last. Doubtful ones get
-// trials, and other work only when it is a last resort.
+// standing is the endpoints of a service that were not tried yet, by how well
+// they suit a request.
+type standing struct {
+	good, doubtful, unreached []fleet.Endpoint
+}
+
+// stand sorts the endpoints of a service. Endpoints behind a path that failed
+// lately, or a daemon that may be gone, come last.
+func (in *Ingress) stand(jo *job, now time.Time, pool *fleet.Pool, tried map[string]bool) standing {
+	var sta standing
+	for _, end := range pool.Endpoints {
+		switch {
+		case tried[end.Key] || !in.isUsable(jo, end) || in.tracker.isGone(now, end.Key):
+		case end.Suspect || !in.tracker.isPathGood(now, end.Daemon):
+			sta.unreached = append(sta.unreached, end)
+		case end.State == fleet.StateDoubtful || in.tracker.isDoubtful(now, end.Key):
+			sta.doubtful = append(sta.doubtful, end)
+		default:
+			sta.good = append(sta.good, end)
+		}
+	}
+	return sta
+}
+
+// choose returns an endpoint that was not tried yet, by what this daemon knows.
+// Doubtful ones get trials, and other work only when it is a last resort.
 func (in *Ingress) choose(jo *job, tried map[string]bool, lastResort bool) (choice, bool) {
 	pool := in.opts.View().Pools[jo.path.Service]
 	if pool == nil {
@@ -45,24 +68,13 @@
 	if end, ok := in.chooseTrial(now, jo, pool, tried); ok {
 		return choice{end: end, trial: true}, true
 	}
-	var good, doubtful, unreached []fleet.Endpoint
-	for _, end := range pool.Endpoints {
-		switch {
-		case tried[end.Key] || !in.isUsable(jo, end):
-		case end.Suspect || !in.tracker.isPathGood(now, end.Daemon):
-			unreached = append(unreached, end)
-		case end.State == fleet.StateDoubtful:
-			doubtful = append(doubtful, end)
-		default:
-			good = append(good, end)
-		}
-	}
-	forced := false
+	sta := in.stand(jo, now, pool, tried)
+	good, forced := sta.good, false
 	if len(good) == 0 && lastResort {
-		good, forced = doubtful, true
+		good, forced = sta.doubtful, true
 	}
-	if len(good) == 0 && len(doubtful) == 0 {
-		good = unreached
+	if len(good) == 0 && len(sta.doubtful) == 0 {
+		good = sta.unreached
 	}
 	at := pick.Choose(rand.New(globalSource{}), in.candidates(now, jo, good), pick.Policy{Zone: in.opts.Zone, SpillPercent: jo.pool.ZoneSpillPercent})
 	if at < 0 {
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -41,9 +41,10 @@
 	"cactusstream.example/core/throttle"
 )
 
-// Runner runs one attempt at the daemon beside an endpoint.
+// Runner runs attempts at the daemon beside an endpoint, and asks it for quotes.
 type Runner interface {
 	Run(ctx context.Context, end fleet.Endpoint, req wire.RunRequest) (wire.RunAnswer, error)
+	Quote(ctx context.Context, end fleet.Endpoint, req wire.QuoteRequest) (wire.QuoteAnswer, error)
 }
 
 // Claims claims keys of non-idempotent requests.
@@ -214,6 +215,9 @@
 
 // throttled says whether the request is refused at once for load.
 func (in *Ingress) throttled(jo *job) (wire.RunAnswer, bool) {
+	if jo.pool.Quotes > 0 {
+		return wire.RunAnswer{}, false // Quotes tell more exactly what can't be served.
+	}
 	if !in.throttle(jo).Refuses(in.opts.Clock.Now(), rand.New(globalSource{})) {
 		return wire.RunAnswer{}, false
 	}
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -46,6 +46,10 @@
 	return fa.answers[at]()
 }
 
+func (fa *fakeRunner) Quote(context.Context, fleet.Endpoint, wire.QuoteRequest) (wire.QuoteAnswer, error) {
+	return wire.QuoteAnswer{}, nil
+}
+
 // fakeClaims gives the same result to every claim.
 type fakeClaims struct {
 	grant      claim.Grant
--- /dev/null
+++ b/cactusd/internal/ingress/quote.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/fleet"
+	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/place"
+)
+
+const (
+	// quoteTimeout bounds how long a gate may take to quote; a path that is this
+	// slow is no good for the request either.
+	quoteTimeout = 150 * time.Millisecond
+	// quoteSpread is how long the other quotes are waited for after the first.
+	quoteSpread = 10 * time.Millisecond
+	// coldCost is what a cold endpoint's wait must be shorter.
+	coldCost = 300 * time.Millisecond
+)
+
+// quoted is the quote of one endpoint.
+type quoted struct {
+	at     int
+	answer wire.QuoteAnswer
+	err    error
+}
+
+// chooseByQuote asks a few endpoints for their wait and returns the best. A
+// verdict that is not in time says that the request could not end in time at
+// any of those that were asked; wait is the least that was quoted.
+func (in *Ingress) chooseByQuote(ctx context.Context, jo *job, ends []fleet.Endpoint) (cho choice, inTime bool, wait time.Duration) {
+	policy := place.Policy{Zone: in.opts.Zone, Near: jo.pool.Quotes, Far: jo.pool.Quotes, FarCost: jo.pool.ZoneCost}
+	places := make([]place.Place, 0, len(ends))
+	for _, end := range ends {
+		pla := place.Place{ID: end.Key, Zone: end.Zone}
+		if end.State == fleet.StateCold || end.State == fleet.StateHeldByFloor {
+			pla.Cost = coldCost
+		}
+		places = append(places, pla)
+	}
+	sample := place.Sample(rand.New(globalSource{}), places, policy)
+	if len(sample) == 1 {
+		return choice{end: ends[sample[0]]}, true, 0
+	}
+	var quotes []place.Quote
+	var from []int
+	for _, quo := range in.askQuotes(ctx, jo, ends, sample) {
+		quotes = append(quotes, place.Quote{Place: places[quo.at], Wait: quo.answer.Wait, Need: quo.answer.Need})
+		from = append(from, quo.at)
+	}
+	ver := place.Best(quotes, jo.deadline.Sub(in.opts.Clock.Now()), policy)
+	if ver.At < 0 {
+		return choice{}, false, 0
+	}
+	return choice{end: ends[from[ver.At]]}, ver.InTime, quotes[ver.At].Wait + quotes[ver.At].Need
+}
+
+// askQuotes returns the quotes of endpoints that would take the request.
+func (in *Ingress) askQuotes(ctx context.Context, jo *job, ends []fleet.Endpoint, sample []int) []quoted {
+	ctx, cancel := context.WithTimeout(ctx, quoteTimeout)
+	defer cancel()
+	answers := make(chan quoted, len(sample))
+	for _, at := range sample {
+		go func() {
+			req := wire.QuoteRequest{Upstream: ends[at].Upstream.ID, Kind: jo.path.Kind, Rank: jo.policy.Rank, Idempotent: jo.policy.Idempotent}
+			answer, err := in.opts.Runner.Quote(ctx, ends[at], req)
+			in.noteQuote(ends[at], answer, err)
+			answers <- quoted{at: at, answer: answer, err: err}
+		}()
+	}
+	var quotes []quoted
+	var late <-chan time.Time
+	for range sample {
+		select {
+		case quo := <-answers:
+			if quo.err == nil && quo.answer.Refused == "" {
+				quotes = append(quotes, quo)
+				if late == nil {
+					late = time.After(quoteSpread)
+				}
+			}
+		case <-late:
+			return quotes
+		case <-ctx.Done():
+			return quotes
+		}
+	}
+	return quotes
+}
+
+// noteQuote notes what a quote showed of an endpoint and of the path to it. A
+// quote that was given up is no sign of a bad path.
+func (in *Ingress) noteQuote(end fleet.Endpoint, answer wire.QuoteAnswer, err error) {
+	now := in.opts.Clock.Now()
+	if err == nil {
+		in.tracker.noteQuote(now, end.Key, answer)
+		if answer.Refused == outcome.NoUpstream || answer.Refused == outcome.Stopping {
+			in.tracker.noteGone(now, end.Key)
+		}
+	}
+}
--- a/cactusd/internal/ingress/search.go
+++ b/cactusd/internal/ingress/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
@@ -15,8 +16,15 @@
 	// searchShare is the part of a request's time in which it looks for an
 	// endpoint without doubt; the rest is left for the work itself.
 	searchShare = 0.5
-	// maxTries bounds the endpoints that refuse a request with proof.
+	// maxTries bounds the endpoints that a request is sent to and that refuse it
+	// with proof.
 	maxTries = 16
+	// quoteRounds is how often a request that can't end in time at any endpoint
+	// that was asked asks others.
+	quoteRounds = 2
+	// returnShare is the part of a caller's time after which it is asked to come
+	// back at the latest; the platform's callers wait no longer than a third.
+	returnShare = 1.0 / 3
 )
 
 // search goes from endpoint to endpoint until one has taken the request.
@@ -26,7 +34,9 @@
 	seen map[string]bool
 	// until is when a doubtful endpoint becomes the last resort.
 	until time.Time
-	last  wire.RunAnswer
+	// lateRounds counts the rounds of quotes none of which was in time.
+	lateRounds int
+	last       wire.RunAnswer
 }
 
 func (in *Ingress) newSearch(jo *job) *search {
@@ -40,15 +50,16 @@
 
 // next returns the endpoint for the next attempt. While all that are left are
 // doubtful it waits: a bout of one may end, or a request on trial show that it
-// has. It gives up when nobody is left.
+// has. It gives up at once when the request can't end in time.
 func (se *search) next(ctx context.Context) (choice, bool) {
 	for ctx.Err() == nil && se.jo.sent < se.jo.policy.RetryAttempts && se.jo.attempts < maxTries {
 		isLate := !se.in.opts.Clock.Now().Before(se.until)
-		if cho, ok := se.in.choose(se.jo, se.seen, isLate); ok {
+		cho, ok := se.choose(ctx, isLate)
+		if ok {
 			se.seen[cho.end.Key] = true
 			return cho, true
 		}
-		if isLate || !se.in.hasDoubtful(se.jo) {
+		if isLate || se.lateRounds >= quoteRounds || !se.in.mayImprove(se.jo) {
 			return choice{}, false
 		}
 		select {
@@ -60,12 +71,50 @@
 	return choice{}, false
 }
 
-// hasDoubtful says whether an endpoint of the service is doubtful, so that one
-// may be had soon.
-func (in *Ingress) hasDoubtful(jo *job) bool {
-	if jo.pool.DoubtPercent == 0 {
-		return false
+// choose returns an endpoint by quotes where the service asks for them.
+func (se *search) choose(ctx context.Context, isLate bool) (choice, bool) {
+	in, jo := se.in, se.jo
+	pool := in.opts.View().Pools[jo.path.Service]
+	if pool == nil || jo.pool.Quotes == 0 {
+		return in.choose(jo, se.seen, isLate)
+	}
+	now := in.opts.Clock.Now()
+	if end, ok := in.chooseTrial(now, jo, pool, se.seen); ok {
+		return choice{end: end, trial: true}, true
 	}
+	for se.lateRounds < quoteRounds {
+		sta := in.stand(jo, in.opts.Clock.Now(), pool, se.seen)
+		if len(sta.good) == 0 {
+			break
+		}
+		cho, inTime, wait := in.chooseByQuote(ctx, jo, sta.good)
+		if cho.end.Key == "" {
+			break // None of those that were asked takes work now.
+		}
+		if inTime {
+			return cho, true
+		}
+		se.lateRounds++
+		se.seen[cho.end.Key] = true
+		se.refuse(wait)
+	}
+	if se.lateRounds > 0 {
+		return choice{}, false
+	}
+	return in.choose(jo, se.seen, isLate)
+}
+
+// refuse notes that the request can't end in time, and when its caller may come
+// back: spread, so that callers that were refused together don't return together.
+func (se *search) refuse(wait time.Duration) {
+	left := se.jo.deadline.Sub(se.in.opts.Clock.Now())
+	se.last = wire.NotRun(outcome.Overloaded, "the work could not end before the deadline")
+	latest := min(time.Duration(returnShare*float64(left)), wait)
+	se.last.RetryAfter = latest/2 + rand.N(latest/2+1)
+}
+
+// mayImprove says whether an endpoint may be had soon that can't be had now.
+func (in *Ingress) mayImprove(jo *job) bool {
 	pool := in.opts.View().Pools[jo.path.Service]
-	return pool != nil && len(pool.Endpoints) > 0
+	return jo.pool.DoubtPercent > 0 && pool != nil && len(pool.Endpoints) > 0
 }
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -14,8 +14,13 @@
 	// loadHalfLife is how fast what an answer said of an upstream's load fades.
 	loadHalfLife = time.Second
 	// statsLife is how long what an answer said of latencies counts.
-	statsLife    = time.Minute
-	maxStats     = 64
+	statsLife = time.Minute
+	maxStats  = 64
+	// doubtLife is how long a gate's word on doubt counts here; its own news
+	// travels to all daemons within that time.
+	// goneLife is how long a gate's word that an endpoint leaves counts here.
+	goneLife     = time.Second
+	doubtLife    = 200 * time.Millisecond
 	minPathPause = 500 * time.Millisecond
 	maxPathPause = 8 * time.Second
 )
@@ -40,9 +45,17 @@
 	// may get a trial.
 	doubtful bool
 	trialAt  time.Time
+	goneAt   time.Time
 	stats    map[string]carriedStats
 }
 
+func (en *endpointTrack) noteLoad(now time.Time, load wire.Load) {
+	en.others = math.Max(0, float64(load.Running+load.Waiting-en.own))
+	en.at = now
+	en.doubtful = load.Doubtful
+	en.trialAt = now.Add(load.TrialIn)
+}
+
 type carriedStats struct {
 	wire.Stats
 	at time.Time
@@ -99,16 +112,35 @@
 	if !answered {
 		return
 	}
-	end.others = math.Max(0, float64(answer.Load.Running+answer.Load.Waiting-end.own))
-	end.at = now
-	end.doubtful = answer.Load.Doubtful
-	end.trialAt = now.Add(answer.Load.TrialIn)
+	end.noteLoad(now, answer.Load)
 	if len(end.stats) >= maxStats {
 		clear(end.stats)
 	}
 	end.stats[kind] = carriedStats{Stats: answer.Stats, at: now}
 }
 
+// noteQuote notes what a quote said of an endpoint.
+func (tr *tracker) noteQuote(now time.Time, key string, quote wire.QuoteAnswer) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.end(key).noteLoad(now, quote.Load)
+}
+
+// noteGone notes that an endpoint's gate takes no work for it any more.
+func (tr *tracker) noteGone(now time.Time, key string) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.end(key).goneAt = now
+}
+
+// isGone says whether an endpoint's gate refused all work for it a moment ago.
+func (tr *tracker) isGone(now time.Time, key string) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	end := tr.ends[key]
+	return end != nil && !end.goneAt.IsZero() && now.Sub(end.goneAt) < goneLife
+}
+
 // forget drops endpoints that are not in use.
 func (tr *tracker) forget(keep func(key string) bool) {
 	tr.mu.Lock()
@@ -132,6 +164,14 @@
 	return float64(end.own) + end.others*fade
 }
 
+// isDoubtful says whether an endpoint's own gate called it doubtful a moment ago.
+func (tr *tracker) isDoubtful(now time.Time, key string) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	end := tr.ends[key]
+	return end != nil && end.doubtful && now.Sub(end.at) < doubtLife
+}
+
 // isTrialDue says whether a doubtful endpoint may get a trial, as far as this
 // ingress knows.
 func (tr *tracker) isTrialDue(now time.Time, key string) bool {
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -15,6 +15,25 @@
 // MethodRun is the link method that asks a gate to run a request.
 const MethodRun = "gate.run"
 
+// MethodQuote is the link method that asks a gate how long a request would wait.
+const MethodQuote = "gate.quote"
+
+// QuoteRequest is what a gate must know of a request to quote its wait.
+type QuoteRequest struct {
+	Upstream   string `codec:"u"`
+	Kind       string `codec:"k"`
+	Rank       int    `codec:"r,omitempty"`
+	Idempotent bool   `codec:"i,omitempty"`
+}
+
+// QuoteAnswer is the wait for a slot and the usual time of the work itself.
+type QuoteAnswer struct {
+	Refused outcome.Reason `codec:"x,omitempty"`
+	Wait    time.Duration  `codec:"w,omitempty"`
+	Need    time.Duration  `codec:"n,omitempty"`
+	Load    Load           `codec:"l"`
+}
+
 // Header is the part of an HTTP header that travels.
 type Header map[string][]string
 
@@ -48,8 +67,8 @@
 
 // Load is what an upstream has to do, first-hand from its gate.
 type Load struct {
-	Running int `codec:"r"`
-	Waiting int `codec:"w"`
+	Running int `codec:"r,omitempty"`
+	Waiting int `codec:"w,omitempty"`
 	// Doubtful says that the upstream gets only trials, the next one in TrialIn.
 	Doubtful bool          `codec:"d,omitempty"`
 	TrialIn  time.Duration `codec:"t,omitempty"`
--- a/core/gray/gray.go
+++ b/core/gray/gray.go
@@ -37,14 +37,12 @@
 	FailedLate
 	// Overdue is work in flight that has lasted far beyond its usual time.
 	Overdue
-	// Shed is work that the upstream refused although it had a free slot.
-	Shed
 	evidenceCount
 )
 
 // String names the evidence.
 func (ev Evidence) String() string {
-	return [...]string{"done", "failedFast", "failedLate", "overdue", "shed"}[min(ev, Shed)]
+	return [...]string{"done", "failedFast", "failedLate", "overdue"}[min(ev, Overdue)]
 }
 
 // Policy is what is assumed of bouts.
@@ -82,7 +80,6 @@
 	FailedFast: {0.80, 0.005},
 	FailedLate: {0.03, 0.015},
 	Overdue:    {0.30, 0.10},
-	Shed:       {0.50, 0.03},
 }
 
 const (
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -43,6 +43,9 @@
 	Rank     int
 	Firm     string
 	Deadline time.Time
+	// Need is how long the work usually takes; less than that before its deadline
+	// it is refused, as its slot would be lost. 0 means that it is not known.
+	Need time.Duration
 	// Once says that the work may run once only.
 	Once bool
 	// Decided is told once what became of an item that waited.
@@ -83,14 +86,14 @@
 
 // Add asks for a slot. With Wait, the item's Decided is called later.
 func (qu *Queue) Add(now time.Time, item *Item) Decision {
-	if !item.Deadline.After(now) {
+	if !item.Deadline.After(now.Add(item.Need)) {
 		return RefuseDeadline
 	}
 	if qu.running < qu.slots && qu.waiting == 0 {
 		qu.running++
 		return Run
 	}
-	if now.Add(qu.wait(item.Rank)).After(item.Deadline) {
+	if now.Add(qu.Wait(item.Rank) + item.Need).After(item.Deadline) {
 		return RefuseDeadline
 	}
 	if qu.waiting >= qu.policy.Limit && !qu.makeRoom(item.Rank) {
@@ -112,13 +115,16 @@
 	return false
 }
 
-// Done gives back a slot that was held for a time, and starts waiting items.
+// Done gives back a slot, and starts waiting items. The time that it was held
+// counts for the estimate of waits unless it is 0, as for work that failed.
 func (qu *Queue) Done(now time.Time, held time.Duration) {
 	qu.running--
-	qu.service += time.Duration(serviceWeight * float64(held-qu.service))
+	if held > 0 {
+		qu.service += time.Duration(serviceWeight * float64(held-qu.service))
+	}
 	for qu.running < qu.slots && qu.waiting > 0 {
 		item := qu.pop()
-		if !item.Deadline.After(now) {
+		if !item.Deadline.After(now.Add(item.Need)) {
 			item.Decided(RefuseDeadline)
 			continue
 		}
@@ -156,17 +162,11 @@
 // SetPolicy changes the limits from now on.
 func (qu *Queue) SetPolicy(policy Policy) { qu.policy = policy }
 
-// Waiting returns the items that wait, by rank.
-func (qu *Queue) Waiting() [RankCount]int {
-	var counts [RankCount]int
-	for i, rank := range qu.ranks {
-		counts[i] = rank.waiting
+// Wait estimates how long an item of a rank would wait for a slot.
+func (qu *Queue) Wait(rank int) time.Duration {
+	if qu.running < qu.slots && qu.waiting == 0 {
+		return 0
 	}
-	return counts
-}
-
-// wait estimates how long an item of a rank will wait.
-func (qu *Queue) wait(rank int) time.Duration {
 	ahead := 0
 	for i := 0; i <= rank; i++ {
 		ahead += qu.ranks[i].waiting
@@ -175,6 +175,15 @@
 	return time.Duration(rounds * float64(qu.service))
 }
 
+// Waiting returns the items that wait, by rank.
+func (qu *Queue) Waiting() [RankCount]int {
+	var counts [RankCount]int
+	for i, rank := range qu.ranks {
+		counts[i] = rank.waiting
+	}
+	return counts
+}
+
 // makeRoom refuses a waiting item of the rank that is furthest above its share
 // of the queue. A rank that holds less than its share always gets room; one
 // that holds more gets it only from less urgent ranks.
--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -59,6 +59,7 @@
 	choiceKey("method", []string{AnyMethod, "GET", "POST", "PUT", "PATCH", "DELETE"}, "GET", LevelKind, "HTTP method of the kind's requests.", func(po *Policy) *string { return &po.Method }),
 	pathKey(),
 	intKey("queueLimit", "requests", 0, 100000, "64", LevelService, "Requests that may wait for one endpoint.", func(po *Policy) *int { return &po.QueueLimit }),
+	intKey("quotes", "endpoints", 0, 16, "0", LevelService, "Endpoints of the own availability zone, and as many of others, that are asked for their wait before a request is sent; 0 asks none.", func(po *Policy) *int { return &po.Quotes }),
 	intKey("rank", "rank", 0, RankCount-1, "2", LevelKind, "Rank of the work; 0 is the most urgent.", func(po *Policy) *int { return &po.Rank }),
 	intKey("retryAttempts", "attempts", 1, 1000, "3", LevelKind, "Attempts at most for one request.", func(po *Policy) *int { return &po.RetryAttempts }),
 	intKey("retryPercent", "percent", 0, 100, "10", LevelService, "Further attempts, as a share of a service's requests.", func(po *Policy) *int { return &po.RetryPercent }),
@@ -72,6 +73,7 @@
 	splitKey(),
 	durationKey("target", time.Millisecond, 24*time.Hour, "250ms", LevelKind, "Latency that the kind should meet.", func(po *Policy) *time.Duration { return &po.Target }),
 	intKey("trialSuccesses", "requests", 1, 1000, "5", LevelService, "Idempotent requests in a row that bring an ejected upstream back.", func(po *Policy) *int { return &po.TrialSuccesses }),
+	durationKey("zoneCost", 0, time.Minute, "100ms", LevelService, "Wait that an endpoint in another availability zone must save to be chosen by its quote.", func(po *Policy) *time.Duration { return &po.ZoneCost }),
 	intKey("zoneSpillPercent", "percent", 0, 1000, "80", LevelService, "Load of the own availability zone from which work goes to others.", func(po *Policy) *int { return &po.ZoneSpillPercent }),
 }
 
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -42,6 +42,8 @@
 	RetryPercent     int
 	RetrySlack       int
 	QueueLimit       int
+	Quotes           int
+	ZoneCost         time.Duration
 	ZoneSpillPercent int
 	ClaimHolders     claim.Table
 }
