--- a/cactusd/internal/ingress/quote.go
+++ b/cactusd/internal/ingress/quote.go
@@ -17,6 +17,8 @@
 	quoteTimeout = 150 * time.Millisecond
 	// quoteSpread is how long the other quotes are waited for after the first.
 	quoteSpread = 10 * time.Millisecond
+	// timeMargin is the part of a request's time that a quote may fill.
+	timeMargin = 0.8
 	// coldCost is what a cold endpoint's wait must be shorter.
 	coldCost = 300 * time.Millisecond
 )
@@ -32,7 +34,7 @@
 // verdict that is not in time says that the request could not end in time at
 // any of those that were asked; wait is the least that was quoted.
 func (in *Ingress) chooseByQuote(ctx context.Context, jo *job, ends []fleet.Endpoint) (cho choice, inTime bool, wait time.Duration) {
-	policy := place.Policy{Zone: in.opts.Zone, Near: jo.pool.Quotes, Far: jo.pool.Quotes, FarCost: jo.pool.ZoneCost}
+	policy := place.Policy{Zone: in.opts.Zone, Near: jo.pool.Quotes, Far: jo.pool.Quotes, FarCost: jo.pool.ZoneCost, Margin: timeMargin}
 	places := make([]place.Place, 0, len(ends))
 	for _, end := range ends {
 		pla := place.Place{ID: end.Key, Zone: end.Zone}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -45,6 +45,9 @@
 	// are asked.
 	Near int
 	Far  int
+	// Margin is the part of the remaining time that the wait and the work may
+	// take: quotes are estimates, and work that ends late has wasted its slot.
+	Margin float64
 	// FarCost is the wait that a place in another zone must save: bytes between
 	// zones are dear, and slow.
 	FarCost time.Duration
@@ -63,7 +66,7 @@
 func Best(quotes []Quote, remaining time.Duration, policy Policy) Verdict {
 	ver := Verdict{At: -1}
 	for at, quo := range quotes {
-		inTime := quo.Wait+quo.Need <= remaining
+		inTime := quo.Wait+quo.Need <= time.Duration(policy.Margin*float64(remaining))
 		switch {
 		case ver.At < 0, inTime && !ver.InTime:
 		case inTime != ver.InTime, policy.cost(quo) >= policy.cost(quotes[ver.At]):
