--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -49,11 +49,16 @@
 
 const (
 	// drainTime is how long callers with open connections have to move on.
-	drainTime  = 500 * time.Millisecond
-	gateTick   = 100 * time.Millisecond
-	forgetTick = 30 * time.Second
+	drainTime = 500 * time.Millisecond
+	gateTick       = 100 * time.Millisecond
+	forgetTick     = 30 * time.Second
 )
 
+// withdrawMargins are what a stop leaves for requests that have a slot: those
+// that still wait then are answered as not run. The second try finds attempts
+// that were on their way to a gate at the first.
+var withdrawMargins = []time.Duration{1500 * time.Millisecond, 1200 * time.Millisecond}
+
 // Options are what a Daemon is made of.
 type Options struct {
 	Config        process.Config
@@ -143,6 +148,7 @@
 	link.Handle(mux, wire.MethodQuote, func(_ context.Context, _ string, req wire.QuoteRequest) (wire.QuoteAnswer, error) {
 		return da.gate.Quote(req), nil
 	})
+	link.HandleNotice(mux, wire.MethodWithdraw, func(_ string, wit wire.Withdrawal) { da.gate.Withdraw(wit) })
 	da.callers = process.NewServer(opts.CallerAddress, da.ingress, nil)
 	da.peers = process.NewServer(opts.Config.PeerAddress, da.links, opts.TLS.Server(true))
 	da.operators = process.NewServer(opts.Config.OperatorAddress, da.operatorsHandler(), opts.TLS.Server(false))
@@ -179,6 +185,12 @@
 	da.stopping.Store(true)
 	da.opts.Log.Write(events.ProcessStopping, nil)
 	da.ingress.Drain()
+	if end, ok := ctx.Deadline(); ok {
+		for _, margin := range withdrawMargins {
+			withdraw := time.AfterFunc(time.Until(end)-margin, da.ingress.Withdraw)
+			defer withdraw.Stop()
+		}
+	}
 	gateDone := make(chan error, 1)
 	go func() { gateDone <- da.gate.Stop(ctx) }()
 	select {
--- a/cactusd/daemon/runner.go
+++ b/cactusd/daemon/runner.go
@@ -31,3 +31,13 @@
 	}
 	return link.Call[wire.QuoteRequest, wire.QuoteAnswer](ctx, ru.pool, end.PeerAddress, wire.MethodQuote, req)
 }
+
+// Withdraw takes back an attempt that still waits at a gate. A notice that is
+// lost leaves the attempt as it is.
+func (ru *runner) Withdraw(ctx context.Context, end fleet.Endpoint, wit wire.Withdrawal) {
+	if end.Daemon == ru.self {
+		ru.gate.Withdraw(wit)
+		return
+	}
+	_ = link.Notify(ctx, ru.pool, end.PeerAddress, wire.MethodWithdraw, wit)
+}
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -227,7 +227,7 @@
 func (gu *guard) admit(ctx context.Context, req wire.RunRequest) (wire.RunAnswer, bool) {
 	decided := make(chan rankqueue.Decision, 1)
 	now := gu.opts.Clock.Now()
-	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Once: !req.Idempotent && !req.Forced, Decided: func(dec rankqueue.Decision) { decided <- dec }}
+	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Once: !req.Idempotent && !req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
 	if refusal, refused := gu.refusal(now, req); refused {
 		gu.mu.Unlock()
@@ -306,6 +306,9 @@
 	if leaving {
 		return wire.NotRun(outcome.Stopping, "the upstream is leaving")
 	}
+	if dec == rankqueue.RefuseWithdrawn {
+		return wire.NotRun(outcome.Stopping, "the daemon that took the request stops")
+	}
 	if dec == rankqueue.RefuseDoubtful {
 		return wire.NotRun(outcome.Doubtful, "a bout of failures began while the request waited")
 	}
--- a/cactusd/internal/gate/quote.go
+++ b/cactusd/internal/gate/quote.go
@@ -3,6 +3,7 @@
 import (
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/rankqueue"
 )
 
 // Quote says how long a request would wait at an upstream, or why it is refused
@@ -28,3 +29,14 @@
 	}
 	return ans
 }
+
+// Withdraw takes back an attempt that still waits for a slot.
+func (ga *Gate) Withdraw(wit wire.Withdrawal) {
+	gu, ok := ga.find(wit.Upstream)
+	if !ok {
+		return
+	}
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	gu.queue.RefuseIf(rankqueue.RefuseWithdrawn, func(item *rankqueue.Item) bool { return item.Attempt == wit.Attempt })
+}
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -119,6 +119,8 @@
 	if req.Remaining <= 0 {
 		return wire.NotRun(outcome.Deadline, "the deadline has passed")
 	}
+	in.attempts.Store(req.Attempt, cho.end)
+	defer in.attempts.Delete(req.Attempt)
 	in.tracker.begin(cho.end.Key)
 	answer, err := in.opts.Runner.Run(ctx, cho.end, req)
 	now = in.opts.Clock.Now()
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -45,6 +45,7 @@
 type Runner interface {
 	Run(ctx context.Context, end fleet.Endpoint, req wire.RunRequest) (wire.RunAnswer, error)
 	Quote(ctx context.Context, end fleet.Endpoint, req wire.QuoteRequest) (wire.QuoteAnswer, error)
+	Withdraw(ctx context.Context, end fleet.Endpoint, wit wire.Withdrawal)
 }
 
 // Claims claims keys of non-idempotent requests.
@@ -76,6 +77,8 @@
 	opts      Options
 	tracker   *tracker
 	draining  atomic.Bool
+	withdrawn atomic.Bool
+	attempts  sync.Map     // Of fleet.Endpoint, by attempt; those under way.
 	failedAt  atomic.Int64 // Unix nanoseconds of the last answer that was a failure.
 	budgets   sync.Map     // Of *budget.Budget, by service.
 	throttles sync.Map     // Of *throttle.Throttle, by limitKey.
@@ -117,6 +120,19 @@
 	in.draining.Store(true)
 }
 
+// Withdraw makes the ingress refuse what has no slot yet: requests that look for
+// an endpoint, and attempts that wait at a gate.
+func (in *Ingress) Withdraw() {
+	in.withdrawn.Store(true)
+	in.attempts.Range(func(attempt, end any) bool {
+		to := end.(fleet.Endpoint)
+		ctx, cancel := context.WithTimeout(context.Background(), quoteTimeout)
+		defer cancel()
+		in.opts.Runner.Withdraw(ctx, to, wire.Withdrawal{Upstream: to.Upstream.ID, Attempt: attempt.(string)})
+		return true
+	})
+}
+
 // FailedAt returns when a caller was last answered with a failure.
 func (in *Ingress) FailedAt() time.Time {
 	return time.Unix(0, in.failedAt.Load())
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -50,6 +50,8 @@
 	return wire.QuoteAnswer{}, nil
 }
 
+func (fa *fakeRunner) Withdraw(context.Context, fleet.Endpoint, wire.Withdrawal) {}
+
 // fakeClaims gives the same result to every claim.
 type fakeClaims struct {
 	grant      claim.Grant
--- a/cactusd/internal/ingress/search.go
+++ b/cactusd/internal/ingress/search.go
@@ -53,6 +53,12 @@
 // has. It gives up at once when the request can't end in time.
 func (se *search) next(ctx context.Context) (choice, bool) {
 	for ctx.Err() == nil && se.jo.sent < se.jo.policy.RetryAttempts && se.jo.attempts < maxTries {
+		if se.in.withdrawn.Load() {
+			if se.last.Outcome == outcome.NotRun {
+				se.last = wire.NotRun(outcome.Stopping, "the daemon stops")
+			}
+			return choice{}, false
+		}
 		isLate := !se.in.opts.Clock.Now().Before(se.until)
 		cho, ok := se.choose(ctx, isLate)
 		if ok {
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -18,6 +18,16 @@
 // MethodQuote is the link method that asks a gate how long a request would wait.
 const MethodQuote = "gate.quote"
 
+// MethodWithdraw is the link notice that takes back an attempt that still waits
+// for a slot; its gate then answers that it did not run.
+const MethodWithdraw = "gate.withdraw"
+
+// Withdrawal names an attempt.
+type Withdrawal struct {
+	Upstream string `codec:"u"`
+	Attempt  string `codec:"a"`
+}
+
 // QuoteRequest is what a gate must know of a request to quote its wait.
 type QuoteRequest struct {
 	Upstream   string `codec:"u"`
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -28,6 +28,7 @@
 	RefuseFull
 	RefuseDeadline
 	RefuseDoubtful
+	RefuseWithdrawn
 )
 
 // Policy is the limits of a queue.
@@ -48,6 +49,8 @@
 	Need time.Duration
 	// Once says that the work may run once only.
 	Once bool
+	// Attempt is the id by which the work can be withdrawn.
+	Attempt string
 	// Decided is told once what became of an item that waited.
 	Decided func(Decision)
 }
