feat: fleets are back sooner after power returned

First pre-votes met peers that did not listen, dials to absent machines hung for a second, and daemons opened their door only after asking every seed. Change: pre-votes are repeated sooner, dials give up after 400 ms, tables are compared with several at once, callers' requests wait up to a second for the first settings.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -49,9 +49,9 @@
 
 const (
 	// drainTime is how long callers with open connections have to move on.
-	drainTime = 500 * time.Millisecond
-	gateTick       = 100 * time.Millisecond
-	forgetTick     = 30 * time.Second
+	drainTime  = 500 * time.Millisecond
+	gateTick   = 100 * time.Millisecond
+	forgetTick = 30 * time.Second
 )
 
 // withdrawMargins are what a stop leaves for requests that have a slot: those
@@ -155,26 +155,21 @@
 	return da, nil
 }
 
-// Start listens and serves. Callers are served once settings are in force and
-// the fleet is known, or could not be had.
+// Start listens and serves. Callers' requests wait a little until settings are
+// in force and the fleet is known.
 func (da *Daemon) Start(ctx context.Context) error {
 	ctx, da.cancel = context.WithCancel(ctx)
-	for _, srv := range []*process.Server{da.peers, da.operators} {
+	for _, srv := range []*process.Server{da.peers, da.operators, da.callers} {
 		if err := srv.Start(); err != nil {
 			return fmt.Errorf("daemon: %w", err)
 		}
 	}
-	da.follower.Start(ctx)
-	da.fleet.Join(ctx)
 	go da.fleet.Run(ctx)
 	go da.follower.Run(ctx)
 	if da.claims != nil {
 		go da.claims.Run(ctx)
 	}
 	go da.tick(ctx)
-	if err := da.callers.Start(); err != nil {
-		return fmt.Errorf("daemon: %w", err)
-	}
 	da.opts.Log.Write(events.ProcessStarted, logrus.Fields{"callers": da.opts.CallerAddress, "operators": da.opts.Config.OperatorAddress, "peers": da.opts.Config.PeerAddress, "settings": da.holder.Current().Version})
 	return nil
 }
--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	firstAskTimeout = 2 * time.Second
+	firstAskTimeout = time.Second
 	minBackoff      = 200 * time.Millisecond
 	maxBackoff      = 5 * time.Second
 	peerEvery       = 500 * time.Millisecond
@@ -70,14 +70,12 @@
 // Run watches a keeper and looks for daemons that are ahead, until the context ends.
 func (fo *Follower) Run(ctx context.Context) {
 	go fo.watchKeepers(ctx)
-	ticker := time.NewTicker(peerEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	for ctx.Err() == nil && fo.opts.Holder.Current().Version == 0 {
+		fo.Start(ctx)
+		fo.pause(ctx, minBackoff)
+	}
+	for ctx.Err() == nil {
+		fo.pause(ctx, peerEvery)
 		if address := fo.opts.Ahead(fo.opts.Holder.Current().Version); address != "" {
 			_ = fo.pull(ctx, address, 0)
 		}
@@ -97,14 +95,18 @@
 			}
 		}
 		at++
-		select {
-		case <-time.After(backoff/2 + rand.N(backoff)):
-		case <-ctx.Done():
-		}
+		fo.pause(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+func (fo *Follower) pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
 // pull asks one process for what is newer, waiting for it at most a while.
 func (fo *Follower) pull(ctx context.Context, address string, wait time.Duration) error {
 	timeout := pullTimeout
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -75,6 +75,7 @@
 // Ingress answers callers. It is safe for concurrent use.
 type Ingress struct {
 	opts      Options
+	started   time.Time
 	tracker   *tracker
 	draining  atomic.Bool
 	withdrawn atomic.Bool
@@ -108,11 +109,15 @@
 	tried []string
 }
 
+// startPatience is how long a request waits for a daemon that has just started
+// to know the settings and the fleet.
+const startPatience = time.Second
+
 const defaultFirm = settings.AnyName
 
 // New returns an Ingress.
 func New(opts Options) *Ingress {
-	return &Ingress{opts: opts, tracker: newTracker()}
+	return &Ingress{opts: opts, started: opts.Clock.Now(), tracker: newTracker()}
 }
 
 // Drain tells callers from now on to close their connections.
@@ -176,7 +181,7 @@
 	if in.opts.Dialect.Request != "" {
 		jo.id = req.Header.Get(in.opts.Dialect.Request)
 	}
-	current := in.opts.Holder.Current()
+	current := in.awaitSettings(req.Context())
 	if current.Version == 0 {
 		return jo, jo.refuse(outcome.NoSettings, "this daemon has no settings yet")
 	}
@@ -219,6 +224,18 @@
 	return jo, nil
 }
 
+// awaitSettings returns the settings in force; a daemon that has just started
+// waits a little for them.
+func (in *Ingress) awaitSettings(ctx context.Context) *spread.InForce {
+	if current := in.opts.Holder.Current(); current.Version > 0 {
+		return current
+	}
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	in.opts.Holder.Wait(ctx, 0)
+	return in.opts.Holder.Current()
+}
+
 // refuse returns an answer without a run. A caller that sent its own key may
 // have sent it before, so nothing is promised about the key.
 func (jo *job) refuse(reason outcome.Reason, detail string) *wire.RunAnswer {
--- a/cactusd/internal/ingress/search.go
+++ b/cactusd/internal/ingress/search.go
@@ -119,8 +119,15 @@
 	se.last.RetryAfter = latest/2 + rand.N(latest/2+1)
 }
 
-// mayImprove says whether an endpoint may be had soon that can't be had now.
+// mayImprove says whether an endpoint may be had soon that can't be had now: a
+// bout may end, and a daemon that has just started may not know the fleet yet.
 func (in *Ingress) mayImprove(jo *job) bool {
 	pool := in.opts.View().Pools[jo.path.Service]
-	return jo.pool.DoubtPercent > 0 && pool != nil && len(pool.Endpoints) > 0
+	if pool == nil || len(pool.Endpoints) == 0 {
+		return jo.pool.Quotes > 0 && in.opts.Clock.Now().Sub(in.started) < startPatience*startRounds
+	}
+	return jo.pool.DoubtPercent > 0
 }
+
+// startRounds is how many times startPatience a daemon may take to know the fleet.
+const startRounds = 3
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -49,11 +49,20 @@
 	no.electionAt = now.Add(no.opts.ElectionTimeout + jitter)
 }
 
+// askSoon sets the time of the next pre-vote while no leader is known. Pre-votes
+// disturb nobody, so they are repeated sooner than elections: after power came
+// back the first ones find peers that do not listen yet.
+func (no *Node) askSoon(now time.Time) {
+	const share = 4
+	jitter := time.Duration(no.rng.Int64N(int64(no.opts.ElectionTimeout / share)))
+	no.electionAt = now.Add(no.opts.ElectionTimeout/share + jitter)
+}
+
 func (no *Node) startPreVote(now time.Time) {
 	no.role = RolePreCandidate
 	no.leader = ""
 	no.votes = map[string]bool{no.id: true}
-	no.resetElection(now)
+	no.askSoon(now)
 	if no.hasVotes() {
 		no.startVote(now)
 		return
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -90,6 +90,7 @@
 	no.persisted = no.log.lastIndex()
 	no.unstable = no.persisted + 1
 	no.becomeFollower(now, no.hard.Term, "")
+	no.askSoon(now)
 	return no, nil
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -43,7 +43,7 @@
 	syncEvery   = 10 * time.Second
 	syncTimeout = 3 * time.Second
 	tickEvery   = 50 * time.Millisecond
-	joinEvery   = time.Second
+	joinEvery   = 200 * time.Millisecond
 )
 
 // Options are what a Fleet is made of.
--- a/core/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -9,26 +9,13 @@
 	"cactusstream.example/core/member"
 )
 
-// Join compares tables with every seed once, so that a daemon knows the fleet
-// before it takes requests.
-func (fl *Fleet) Join(ctx context.Context) {
-	var group sync.WaitGroup
-	for _, seed := range fl.otherSeeds() {
-		group.Go(func() { fl.sync(ctx, seed) })
-	}
-	group.Wait()
-	fl.refreshView()
-}
-
 // syncLoop compares tables with others: often until somebody is known, then
 // now and then with a daemon at random, and with one that is gone, or a seed,
 // so that two halves of a fleet find each other again.
 func (fl *Fleet) syncLoop(ctx context.Context) {
 	round := 0
 	for {
-		for _, address := range fl.syncTargets(round) {
-			fl.sync(ctx, address)
-		}
+		fl.syncAll(ctx, fl.syncTargets(round))
 		wait := joinEvery
 		if fl.PickPeer() != "" {
 			fl.mu.Lock()
@@ -44,6 +31,15 @@
 	}
 }
 
+// syncAll compares tables with several at once: one that is away holds up none.
+func (fl *Fleet) syncAll(ctx context.Context, addresses []string) {
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() { fl.sync(ctx, address) })
+	}
+	group.Wait()
+}
+
 func (fl *Fleet) syncTargets(round int) []string {
 	peer := fl.PickPeer()
 	if peer == "" {
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -19,8 +19,8 @@
 	// Path is where a Server is mounted.
 	Path = "/link"
 
-	dialTimeout = 1 * time.Second
-	redialAfter = 200 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
+	redialAfter = 100 * time.Millisecond
 	headerPeer  = "Cactus-Peer"
 )
 
