feat: doubt travels with quotes and ends by proof

Cause: every change of doubt was news to the whole fleet, about 30 KB each; and doubt that faded with time alone made the next order the trial. Change: gates that quote tell of doubt themselves; doubt ends once later work ended well, or after four mean bouts.

--- a/cactusd/internal/gate/doubt.go
+++ b/cactusd/internal/gate/doubt.go
@@ -41,7 +41,8 @@
 }
 
 // noteDoubt logs a change of the doubt and sends waiting work that may run once
-// only elsewhere; the caller holds the lock.
+// only elsewhere; it says whether the fleet should hear of the change. The
+// caller holds the lock.
 func (gu *guard) noteDoubt(now time.Time) bool {
 	doubtful := gu.filter.IsDoubtful(now)
 	if doubtful == gu.doubtful {
@@ -54,7 +55,7 @@
 		gu.queue.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return item.Once })
 	}
 	gu.opts.Log.Write(event, logrus.Fields{"upstream": gu.ann.ID, "service": gu.ann.Service, "estimate": gu.filter.Estimate(now), "evidence": gu.filter.LastEvidence().String()})
-	return true
+	return gu.opts.Policy(gu.ann.Service).Quotes == 0
 }
 
 func grayPolicy(po *settings.Policy) gray.Policy {
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -173,7 +173,9 @@
 		rec.State = member.Cold
 		rec.Reason = "cold start"
 		rec.SinceMS = gu.renewed.UnixMilli()
-	case state == health.Well && gu.doubtful:
+	case state == health.Well && gu.doubtful && gu.opts.Policy(gu.ann.Service).Quotes == 0:
+		// Where gates quote, they tell of doubt themselves: it changes too often
+		// for news to the whole fleet.
 		rec.State = member.Doubtful
 		rec.Reason = "in a bout of failures"
 	case state == health.Well:
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -59,7 +59,7 @@
 // mayRepeat says whether another upstream may be tried. Refusals that cost no
 // upstream anything need no budget.
 func (in *Ingress) mayRepeat(jo *job, cho choice, last wire.RunAnswer) bool {
-	if cho.trial && cho.end.State != fleet.StateDoubtful {
+	if cho.trial && cho.end.State == fleet.StateTrial {
 		return true
 	}
 	if last.Outcome == outcome.NotRun && (!isOverload(last) || jo.pool.Quotes > 0 && last.Reason == outcome.Overloaded) {
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -95,27 +95,34 @@
 }
 
 func (in *Ingress) chooseTrial(now time.Time, jo *job, pool *fleet.Pool, tried map[string]bool) (fleet.Endpoint, bool) {
-	if !jo.policy.Idempotent || len(tried) > 0 || jo.policy.RetryAttempts < 2 {
+	if len(tried) > 0 || !jo.policy.Idempotent || jo.policy.RetryAttempts < 2 {
 		return fleet.Endpoint{}, false
 	}
 	share := trialShare
 	if jo.policy.Rank == 0 {
 		share = urgentTrialShare
 	}
-	mayDoubt := in.budget(jo).Left() >= trialReserve
+	mayDoubt := in.mayTry(jo)
 	first := rand.IntN(max(len(pool.Endpoints), 1))
 	for i := range pool.Endpoints {
 		end := pool.Endpoints[(first+i)%len(pool.Endpoints)]
 		switch {
 		case end.State == fleet.StateTrial && rand.Float64() < share:
 			return end, true
-		case end.State == fleet.StateDoubtful && mayDoubt && !end.Suspect && in.tracker.isTrialDue(now, end.Key) && rand.Float64() < doubtTrialShare:
+		case !mayDoubt || end.Suspect || !in.isUsable(jo, end):
+		case in.tracker.wantsTrial(now, end.Key, end.State == fleet.StateDoubtful) && rand.Float64() < doubtTrialShare:
 			return end, true
 		}
 	}
 	return fleet.Endpoint{}, false
 }
 
+// mayTry says whether a request may try a doubtful endpoint: it may be repeated,
+// and the budget has a repeat for it.
+func (in *Ingress) mayTry(jo *job) bool {
+	return jo.policy.Idempotent && jo.sent == 0 && jo.policy.RetryAttempts >= 2 && in.budget(jo).Left() >= trialReserve
+}
+
 func (in *Ingress) candidates(now time.Time, jo *job, ends []fleet.Endpoint) []pick.Candidate {
 	list := make([]pick.Candidate, 0, len(ends))
 	for _, end := range ends {
--- a/cactusd/internal/ingress/quote.go
+++ b/cactusd/internal/ingress/quote.go
@@ -49,7 +49,14 @@
 	}
 	var quotes []place.Quote
 	var from []int
+	mayTry := in.mayTry(jo) && len(sample) > 1
 	for _, quo := range in.askQuotes(ctx, jo, ends, sample) {
+		if quo.answer.Load.Doubtful {
+			if mayTry && rand.Float64() < doubtTrialShare {
+				return choice{end: ends[quo.at], trial: true}, true, 0
+			}
+			continue
+		}
 		quotes = append(quotes, place.Quote{Place: places[quo.at], Wait: quo.answer.Wait, Need: quo.answer.Need})
 		from = append(from, quo.at)
 	}
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -18,6 +18,8 @@
 	maxStats  = 64
 	// doubtLife is how long a gate's word on doubt counts here; its own news
 	// travels to all daemons within that time.
+	// trialLife is how long an endpoint that was doubtful is offered trials.
+	trialLife = 5 * time.Second
 	// goneLife is how long a gate's word that an endpoint leaves counts here.
 	goneLife     = time.Second
 	doubtLife    = 200 * time.Millisecond
@@ -172,13 +174,17 @@
 	return end != nil && end.doubtful && now.Sub(end.at) < doubtLife
 }
 
-// isTrialDue says whether a doubtful endpoint may get a trial, as far as this
-// ingress knows.
-func (tr *tracker) isTrialDue(now time.Time, key string) bool {
+// wantsTrial says whether an endpoint is doubtful and may get a trial, as far as
+// this ingress knows; told says that the fleet calls it doubtful.
+func (tr *tracker) wantsTrial(now time.Time, key string, told bool) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	end := tr.ends[key]
-	return end == nil || !now.Before(end.trialAt)
+	if end == nil {
+		return told
+	}
+	knows := end.doubtful && now.Sub(end.at) < trialLife
+	return (told || knows) && !now.Before(end.trialAt)
 }
 
 // isPathGood says whether a daemon could be reached lately.
--- a/core/gray/gray.go
+++ b/core/gray/gray.go
@@ -66,6 +66,8 @@
 	trialAt  time.Time
 	pause    time.Duration
 	last     Evidence
+	// proved says that work which began after the last failure ended well.
+	proved bool
 }
 
 // likelihood is how probable evidence is in a bout and in calm.
@@ -91,6 +93,9 @@
 	minTrialPause = 150 * time.Millisecond
 	maxTrialPause = 600 * time.Millisecond
 	pauseGrowth   = 1.5
+	// patience is how many mean bouts doubt lasts without any work that proves
+	// its end; the first work after it may be lost.
+	patience = 4
 	// leastEstimate and mostEstimate keep old evidence from outweighing new.
 	leastEstimate = 0.005
 	mostEstimate  = 0.995
@@ -125,7 +130,7 @@
 	switch {
 	case fi.estimate >= doubt:
 		fi.doubtful = true
-	case fi.estimate < trustShare*doubt:
+	case fi.estimate < trustShare*doubt && (fi.proved || now.Sub(fi.failedAt) >= patience*fi.policy.Bout):
 		fi.doubtful = false
 		fi.pause = minTrialPause
 	}
@@ -148,6 +153,7 @@
 	like := likelihoods[evidence]
 	bout := fi.estimate * like.bout
 	fi.estimate = bound(bout / (bout + (1-fi.estimate)*like.calm))
+	fi.proved = evidence == Done
 	if like.bout > like.calm {
 		fi.failedAt = now
 		fi.trialAt = now.Add(fi.pause)
