--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -23,9 +23,9 @@
 	// announcements that were late or repeated can't bring it back.
 	gonePatience = 5 * time.Second
 	maxKinds     = 256
-	// needShare of a kind's median is what its work must have left: half of it
-	// ends sooner than the median.
-	needShare = 0.7
+	// needShare of a kind's median is what its work must have left to begin: most
+	// of it ends within that, and a slot is not spent on what ends too late.
+	needShare = 1.2
 )
 
 // guard is one upstream with its slots, its queue and its judge.
--- a/cactusd/internal/ingress/quote.go
+++ b/cactusd/internal/ingress/quote.go
@@ -18,7 +18,7 @@
 	// quoteSpread is how long the other quotes are waited for after the first.
 	quoteSpread = 10 * time.Millisecond
 	// timeMargin is the part of a request's time that a quote may fill.
-	timeMargin = 0.8
+	timeMargin = 0.75
 	// coldCost is what a cold endpoint's wait must be shorter.
 	coldCost = 300 * time.Millisecond
 )
--- a/core/gray/gray.go
+++ b/core/gray/gray.go
@@ -91,11 +91,11 @@
 	// minTrialPause and maxTrialPause bound the time between two trials: a bout
 	// lasts seconds, and every trial that fails costs a repeat.
 	minTrialPause = 150 * time.Millisecond
-	maxTrialPause = 600 * time.Millisecond
+	maxTrialPause = 800 * time.Millisecond
 	pauseGrowth   = 1.5
 	// patience is how many mean bouts doubt lasts without any work that proves
 	// its end; the first work after it may be lost.
-	patience = 4
+	patience = 2
 	// leastEstimate and mostEstimate keep old evidence from outweighing new.
 	leastEstimate = 0.005
 	mostEstimate  = 0.995
