test: doubt, placement, regrouping, labels, foreign answers and stops

Found by them: doubt that began only when it was asked for, doubt that never ended without work, and a Retry-After beside outcomes that nobody knows. All three are mended.

--- /dev/null
+++ b/cactusd/internal/gate/doubt_test.go
@@ -0,0 +1,119 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactusstream.example/cactusd/internal/gate"
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/clock"
+	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/settings"
+)
+
+func doubtPolicy() *settings.Policy {
+	policy := defaultPolicy()
+	policy.DoubtPercent, policy.Quotes = 35, 2
+	policy.EjectThreshold = 50
+	return policy
+}
+
+// serveStatus answers with a status that can be changed.
+func serveStatus(t *testing.T, status *atomic.Int64) string {
+	t.Helper()
+	address, _ := serveScript(t, func(con net.Conn, _ int64, req *http.Request) bool {
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 %d Status\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", status.Load(), req.Header.Get("X-Id"))
+		return true
+	})
+	return address
+}
+
+func TestWorkThatMayRunOnceOnlyAvoidsABout(t *testing.T) {
+	is := is.New(t)
+	var status atomic.Int64
+	status.Store(500)
+	ga := newForeignGate(clock.Real{}, doubtPolicy(), nil)
+	announce(t, ga, serveStatus(t, &status), 4)
+	is.Equal(ga.Run(context.Background(), foreignRequest("lost", false)).Outcome, outcome.Ran)
+	refused := ga.Run(context.Background(), foreignRequest("saved", false))
+	is.Equal(refused.Outcome, outcome.NotRun)
+	is.Equal(refused.Reason, outcome.Doubtful)
+	is.True(refused.Load.Doubtful)
+	is.Equal(ga.Quote(wire.QuoteRequest{Upstream: "u"}).Refused, outcome.Doubtful)
+	forced := foreignRequest("forced", false)
+	forced.Forced = true
+	is.Equal(ga.Run(context.Background(), forced).Outcome, outcome.Ran) // No better one is left.
+
+	status.Store(200)
+	for number := 0; ga.Run(context.Background(), foreignRequest(fmt.Sprint("once-", number), false)).Outcome != outcome.Ran; number++ {
+		if number > 1000 {
+			t.Fatal("work that may be repeated does not end the doubt")
+		}
+		ga.Run(context.Background(), foreignRequest(fmt.Sprint("trial-", number), true))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestFailureOfACallIsNotTheUpstreams(t *testing.T) {
+	is := is.New(t)
+	var status atomic.Int64
+	status.Store(500)
+	ga := newForeignGate(clock.Real{}, doubtPolicy(), time.Now) // A caller on the own VM was just told of a failure.
+	announce(t, ga, serveStatus(t, &status), 4)
+	for number := range 10 {
+		is.Equal(ga.Run(context.Background(), foreignRequest(fmt.Sprint(number), false)).Outcome, outcome.Ran)
+	}
+}
+
+func TestWithdrawnAttemptIsProvedNotToRun(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	address := serveUpstream(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	ga := newGate(clock.Real{})
+	announce(t, ga, address, 1)
+	go ga.Run(context.Background(), request("running", false))
+	for ga.Dump()[0]["running"] != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	answer := make(chan wire.RunAnswer, 1)
+	go func() { answer <- ga.Run(context.Background(), request("waiting", false)) }()
+	for fmt.Sprint(ga.Dump()[0]["waitingByRank"]) != "[0 1 0 0]" {
+		time.Sleep(time.Millisecond)
+	}
+	ga.Withdraw(wire.Withdrawal{Upstream: "u", Attempt: "running"}) // It has a slot: it goes on.
+	ga.Withdraw(wire.Withdrawal{Upstream: "u", Attempt: "waiting"})
+	got := <-answer
+	is.Equal(got.Outcome, outcome.NotRun)
+	is.Equal(got.Reason, outcome.Stopping)
+	is.Equal(ga.Dump()[0]["running"], 1)
+}
+
+// TestStartsAndLateAnnouncements orders the announcements of several starts of
+// an upstream.
+func TestStartsAndLateAnnouncements(t *testing.T) {
+	born := time.Unix(5000, 0)
+	ann := func(start time.Duration, sequence uint64) gate.Announcement {
+		return gate.Announcement{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1, Connections: 9, Born: born.Add(start), Sequence: sequence}
+	}
+	is := is.New(t)
+	ga := newGate(clock.NewFake(time.Unix(1000, 0)))
+	is.NoErr(ga.Announce(ann(0, 7)))
+	is.Equal(ga.Announce(ann(0, 3)), gate.ErrOvertaken) // Delayed on its way.
+	is.NoErr(ga.Announce(ann(time.Second, 0)))          // Started anew under its id, counting anew.
+	is.Equal(ga.Announce(ann(0, 9)), gate.ErrOvertaken) // From before it ended.
+	_, err := ga.LeaveStart("u", born)
+	is.NoErr(err)
+	is.Equal(ga.Records()[0].State.String(), "ready") // The leave of the earlier start.
+	_, err = ga.LeaveStart("u", born.Add(time.Second))
+	is.NoErr(err)
+	is.Equal(ga.Records()[0].State.String(), "draining")
+	is.Equal(ga.Announce(ann(time.Second, 4)), gate.ErrLeft)
+}
--- a/cactusd/internal/ingress/answer.go
+++ b/cactusd/internal/ingress/answer.go
@@ -97,6 +97,9 @@
 // retryAfter returns when the caller may come back, in seconds, or "". Callers
 // of the product's own contract get whole seconds.
 func (in *Ingress) retryAfter(answer wire.RunAnswer) string {
+	if in.opts.Dialect.StrictRefusals && answer.Outcome != outcome.NotRun {
+		return "" // It invites a repeat, which only a proved refusal does.
+	}
 	wait := answer.RetryAfter
 	if wait <= 0 && isPassing(answer.Reason) {
 		wait = defaultRetryAfter
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -94,6 +94,27 @@
 	in     *ingress.Ingress
 }
 
+// signingKey signs the settings of these tests.
+var signingKey = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+
+func emptyHolder() *spread.Holder {
+	return spread.NewHolder(func() []ed25519.PublicKey { return []ed25519.PublicKey{signingKey.Public().(ed25519.PublicKey)} })
+}
+
+func applyTree(t testing.TB, hol *spread.Holder, tree *settings.Tree) {
+	t.Helper()
+	if _, err := hol.Apply(spread.Update{Version: 1, Digest: tree.Digest(), Signature: spread.Sign(signingKey, 1, tree.Digest()), Tree: tree.Nodes}); err != nil {
+		t.Error(err)
+	}
+}
+
+func holderOf(t testing.TB, tree *settings.Tree) *spread.Holder {
+	t.Helper()
+	hol := emptyHolder()
+	applyTree(t, hol, tree)
+	return hol
+}
+
 func newFixture(t testing.TB, answers ...func() (wire.RunAnswer, error)) *fixture {
 	t.Helper()
 	tree := settings.NewTree().Apply([]settings.Edit{
@@ -106,11 +127,7 @@
 		{Path: "*/*/s/cut", Key: "method", Value: "POST"},
 		{Path: "*/*/s/cut", Key: "bodyLimit", Value: "100"},
 	})
-	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	hol := spread.NewHolder(func() []ed25519.PublicKey { return []ed25519.PublicKey{key.Public().(ed25519.PublicKey)} })
-	if _, err := hol.Apply(spread.Update{Version: 1, Digest: tree.Digest(), Signature: spread.Sign(key, 1, tree.Digest()), Tree: tree.Nodes}); err != nil {
-		t.Fatal(err)
-	}
+	hol := holderOf(t, tree)
 	tokenFile := filepath.Join(t.TempDir(), "token")
 	if err := os.WriteFile(tokenFile, []byte("a-token-of-our-services"), 0o600); err != nil {
 		t.Fatal(err)
@@ -128,8 +145,9 @@
 	}
 	view := &fleet.View{Pools: map[string]*fleet.Pool{"s": pool}}
 	fi := &fixture{runner: &fakeRunner{answers: answers}, claims: &fakeClaims{grant: claim.Grant{Result: claim.Won}, releasable: true}}
-	fi.in = ingress.New(ingress.Options{Dialect: dialect.DefaultCaller(),
-		Claims: fi.claims, Clock: clock.Real{}, Firm: "f", Place: "p", Holder: hol, Log: events.Discard(), Metrics: metrics.NewRegistry(),
+	fi.in = ingress.New(ingress.Options{
+		Dialect: dialect.DefaultCaller(),
+		Claims:  fi.claims, Clock: clock.Real{}, Firm: "f", Place: "p", Holder: hol, Log: events.Discard(), Metrics: metrics.NewRegistry(),
 		Runner: fi.runner, Services: tokens, View: func() *fleet.View { return view }, Zone: "z",
 	})
 	return fi
--- /dev/null
+++ b/core/events/spool_test.go
@@ -0,0 +1,63 @@
+package events_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"cactusstream.example/core/events"
+)
+
+// stuckWriter is a reader of logs that has stopped reading.
+type stuckWriter struct{ released chan struct{} }
+
+func (st *stuckWriter) Write(data []byte) (int, error) {
+	<-st.released
+	return len(data), nil
+}
+
+func TestSpoolNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	stuck := &stuckWriter{released: make(chan struct{})}
+	spool := events.NewSpool(stuck)
+	done := make(chan struct{})
+	go func() {
+		for range 10_000 {
+			_, _ = io.WriteString(spool, "a line\n")
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a writer waits for the reader")
+	}
+	is.True(spool.LeftOut() > 0)
+	spool.Close(0)
+	close(stuck.released)
+}
+
+func TestLimitKeepsWarningsAndFailedRequestsLongest(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, err := events.NewLogger("json", "info", &out)
+	is.NoErr(err)
+	log = log.WithLimit(10)
+	for range 100 {
+		log.Write(events.RequestEnded, nil)
+	}
+	log.Write(events.RequestFailed, logrus.Fields{"request": "r1"})
+	log.Write(events.UpstreamSick, nil)
+	is.Equal(strings.Count(out.String(), "requestEnded"), 7)
+	is.Equal(strings.Count(out.String(), "requestFailed"), 1)
+	is.Equal(strings.Count(out.String(), "upstreamSick"), 1)
+	time.Sleep(1100 * time.Millisecond)
+	log.Write(events.RequestEnded, nil)
+	is.True(strings.Contains(out.String(), "linesLeftOut")) // The next second tells of it.
+	is.True(strings.Contains(out.String(), `"lines":93`))
+}
--- a/core/gray/gray.go
+++ b/core/gray/gray.go
@@ -122,18 +122,8 @@
 
 // IsDoubtful says whether the upstream should get no work that may run once only.
 func (fi *Filter) IsDoubtful(now time.Time) bool {
-	if fi.policy.DoubtPercent == 0 {
-		return false
-	}
 	fi.pass(now)
-	doubt := float64(fi.policy.DoubtPercent) / 100
-	switch {
-	case fi.estimate >= doubt:
-		fi.doubtful = true
-	case fi.estimate < trustShare*doubt && (fi.proved || now.Sub(fi.failedAt) >= patience*fi.policy.Bout):
-		fi.doubtful = false
-		fi.pause = minTrialPause
-	}
+	fi.decide(now)
 	return fi.doubtful
 }
 
@@ -159,6 +149,7 @@
 		fi.trialAt = now.Add(fi.pause)
 		fi.pause = min(time.Duration(pauseGrowth*float64(fi.pause)), maxTrialPause)
 	}
+	fi.decide(now)
 }
 
 // SetPolicy changes what is assumed from now on.
@@ -169,6 +160,22 @@
 	return max(fi.trialAt.Sub(now), 0)
 }
 
+// decide begins or ends the doubt by the estimate.
+func (fi *Filter) decide(now time.Time) {
+	doubt := float64(fi.policy.DoubtPercent) / 100
+	isProved := fi.proved && fi.estimate < trustShare*doubt
+	isOld := now.Sub(fi.failedAt) >= patience*fi.policy.Bout
+	switch {
+	case fi.policy.DoubtPercent == 0:
+		fi.doubtful = false
+	case fi.estimate >= doubt:
+		fi.doubtful = true
+	case isProved, isOld:
+		fi.doubtful = false
+		fi.pause = minTrialPause
+	}
+}
+
 // pass lets the estimate drift to the share of time that bouts take.
 func (fi *Filter) pass(now time.Time) {
 	passed := now.Sub(fi.at)
--- /dev/null
+++ b/core/rankqueue/refuse_test.go
@@ -0,0 +1,65 @@
+package rankqueue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactusstream.example/core/rankqueue"
+)
+
+func TestWorkThatCannotEndIsRefusedBeforeItTakesASlot(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	que := rankqueue.New(1, rankqueue.Policy{Limit: 10})
+	is.Equal(que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Second), Need: 2 * time.Second}), rankqueue.RefuseDeadline)
+	is.Equal(que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Second), Need: time.Second / 2}), rankqueue.Run)
+	var decided rankqueue.Decision
+	late := &rankqueue.Item{Deadline: now.Add(time.Second), Need: time.Second / 2, Decided: func(dec rankqueue.Decision) { decided = dec }}
+	is.Equal(que.Add(now, late), rankqueue.Wait)
+	que.Done(now.Add(700*time.Millisecond), 700*time.Millisecond) // Too late for work of half a second.
+	is.Equal(decided, rankqueue.RefuseDeadline)
+	is.Equal(que.Running(), 0)
+}
+
+func TestFailedWorkDoesNotShortenTheEstimateOfWaits(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	wait := func(failures int) time.Duration {
+		que := rankqueue.New(1, rankqueue.Policy{Limit: 10})
+		for range 50 {
+			que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour)})
+			que.Done(now, time.Second)
+		}
+		for range failures {
+			que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour)})
+			que.Done(now, 0)
+		}
+		for range 3 {
+			que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour), Decided: func(rankqueue.Decision) {}})
+		}
+		return que.Wait(0)
+	}
+	is.Equal(wait(100), wait(0))
+	is.True(wait(0) > time.Second)
+}
+
+func TestRefuseIf(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	que := rankqueue.New(1, rankqueue.Policy{Limit: 100})
+	decisions := make(map[string]rankqueue.Decision)
+	add := func(attempt, firm string, rank int, once bool) {
+		que.Add(now, &rankqueue.Item{Attempt: attempt, Firm: firm, Rank: rank, Once: once, Deadline: now.Add(time.Hour), Decided: func(dec rankqueue.Decision) { decisions[attempt] = dec }})
+	}
+	add("running", "f", 0, true)
+	add("a", "f", 1, true)
+	add("b", "f", 1, false)
+	add("c", "g", 2, true)
+	add("d", "f", 1, true)
+	que.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return item.Once })
+	is.Equal(decisions, map[string]rankqueue.Decision{"a": rankqueue.RefuseDoubtful, "c": rankqueue.RefuseDoubtful, "d": rankqueue.RefuseDoubtful})
+	que.Done(now, time.Millisecond)
+	is.Equal(decisions["b"], rankqueue.Run)
+}
--- /dev/null
+++ b/core/regroup/regroup_test.go
@@ -0,0 +1,86 @@
+package regroup_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactusstream.example/core/consensus"
+	"cactusstream.example/core/regroup"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func member(id, address string, voter bool) consensus.Member {
+	return consensus.Member{ID: id, PeerAddress: address, Voter: voter}
+}
+
+func caller(id, address string, blank bool) regroup.Caller {
+	return regroup.Caller{Call: regroup.Call{Member: member(id, address, false), IsBlank: blank, IsFirstStart: blank}, HeardAt: now}
+}
+
+func TestOnlyOneKeeperFounds(t *testing.T) {
+	seeds := []string{"10.0.0.2:1", "10.0.0.1:1", "10.0.0.3:1"}
+	all := []regroup.Caller{caller("a", "10.0.0.1:1", true), caller("b", "10.0.0.2:1", true), caller("c", "10.0.0.3:1", true), caller("d", "10.0.0.4:1", true), caller("e", "10.0.0.5:1", true)}
+	cases := []struct {
+		name    string
+		self    regroup.Call
+		callers []regroup.Caller
+		want    bool
+	}{
+		{"the first seed, with enough callers", all[0].Call, all[1:], true},
+		{"the first seed, with too few", all[0].Call, all[1:4], false},
+		{"another seed", all[1].Call, all, false},
+		{"one that is no seed", all[4].Call, all, false},
+		{"one that knows a group", regroup.Call{Member: all[0].Member, IsFirstStart: true}, all[1:], false},
+		{"a later start", regroup.Call{Member: all[0].Member, IsBlank: true}, all[1:], false},
+		{"a caller knows a group", all[0].Call, append([]regroup.Caller{caller("x", "10.0.0.9:1", false)}, all[1:]...), false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(regroup.Founds(tc.self, seeds, tc.callers, 5), tc.want)
+		})
+	}
+}
+
+func TestNext(t *testing.T) {
+	five := consensus.Config{Members: []consensus.Member{member("a", "1", true), member("b", "2", true), member("c", "3", true), member("d", "4", true), member("e", "5", true)}}
+	with := func(more ...consensus.Member) consensus.Config {
+		return consensus.Config{Members: append(append([]consensus.Member(nil), five.Members...), more...)}
+	}
+	fresh := regroup.Contact{HeardAt: now, IsCaughtUp: true}
+	contacts := func(silent ...string) map[string]regroup.Contact {
+		all := map[string]regroup.Contact{"a": fresh, "b": fresh, "c": fresh, "d": fresh, "e": fresh, "f": fresh, "b2": fresh}
+		for _, id := range silent {
+			all[id] = regroup.Contact{HeardAt: now.Add(-time.Minute)}
+		}
+		return all
+	}
+	cases := []struct {
+		name     string
+		config   consensus.Config
+		callers  []regroup.Caller
+		contacts map[string]regroup.Contact
+		ledSince time.Time
+		kind     regroup.Kind
+		id       string
+	}{
+		{"all is well", five, nil, contacts(), now.Add(-time.Hour), regroup.None, ""},
+		{"a caller becomes a learner", five, []regroup.Caller{caller("f", "6", true)}, contacts(), now.Add(-time.Hour), regroup.Add, "f"},
+		{"a learner that caught up votes", with(member("f", "6", false)), nil, contacts(), now.Add(-time.Hour), regroup.Promote, "f"},
+		{"a lost disk's member goes once its successor follows", with(member("b2", "2", false)), []regroup.Caller{caller("b2", "2", false)}, contacts("b"), now.Add(-time.Hour), regroup.Remove, "b"},
+		{"a silent voter stays while the others are too few", five, nil, contacts("b"), now.Add(-time.Hour), regroup.None, ""},
+		{"a silent voter goes when the others are enough", with(member("f", "6", true)), nil, contacts("b"), now.Add(-time.Hour), regroup.Remove, "b"},
+		{"a new leader has heard nobody yet", with(member("f", "6", true)), nil, contacts("b"), now, regroup.None, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			step := regroup.Next(regroup.View{Now: now, Self: "a", Config: tc.config, Callers: tc.callers, Contacts: tc.contacts, LedSince: tc.ledSince, Size: 5})
+			is.Equal(step.Kind, tc.kind)
+			is.Equal(step.Member.ID, tc.id)
+		})
+	}
+}
--- /dev/null
+++ b/core/settings/route_test.go
@@ -0,0 +1,79 @@
+package settings_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cactusstream.example/core/settings"
+)
+
+func TestRoutesByHostAndPrefix(t *testing.T) {
+	tree := settings.NewTree()
+	for name, node := range map[string]settings.Node{
+		"below":   {"host": "one.example", "path": "/stock/", "method": settings.AnyMethod},
+		"deeper":  {"host": "one.example", "path": "/stock/deep/", "method": settings.AnyMethod},
+		"all":     {"host": "one.example", "path": "/", "method": settings.AnyMethod},
+		"other":   {"host": "two.example", "path": "/stock/", "method": settings.AnyMethod},
+		"anyHost": {"path": "/stock/deep/down", "method": "GET"},
+	} {
+		tree.Nodes["*/*/s/"+name] = node
+	}
+	if faults := tree.Validate(); len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	cases := []struct {
+		name, host, method, path, kind string
+	}{
+		{"below the prefix", "one.example", "PUT", "/stock/7", "below"},
+		{"the longest prefix", "one.example", "GET", "/stock/deep/7", "deeper"},
+		{"the prefix without its slash is not below it", "one.example", "GET", "/stock", "all"},
+		{"a port and capitals do not count", "One.Example:8080", "GET", "/stock/7", "below"},
+		{"another host", "two.example", "GET", "/stock/7", "other"},
+		{"the own host before every host", "one.example", "GET", "/stock/deep/down", "deeper"},
+		{"every host", "three.example", "GET", "/stock/deep/down/7", "anyHost"},
+		{"another method", "three.example", "PUT", "/stock/deep/down/7", ""},
+		{"no such host", "three.example", "GET", "/stock/7", ""},
+	}
+	routes := settings.NewResolver(tree).Routes()
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			path, found := routes.Find(settings.Request{Firm: "*", Place: "*", Host: tc.host, Method: tc.method, Path: tc.path})
+			is.Equal(found, tc.kind != "")
+			is.Equal(path.Kind, tc.kind)
+		})
+	}
+}
+
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	split, err := settings.ParseSplit("one:90 two:10 three:0")
+	is.NoErr(err)
+	is.Equal(split.String(), "one:90 two:10 three:0")
+	counts := make(map[string]int)
+	for i := range 1000 {
+		counts[split.Choose(float64(i)/1000)]++
+	}
+	is.Equal(counts, map[string]int{"one": 900, "two": 100})
+	is.Equal(settings.Split(nil).Choose(0.5), "")
+	for _, text := range []string{"one", "one:x", "one:-1", "one:0 two:0", ":5"} {
+		_, err := settings.ParseSplit(text)
+		is.True(err != nil) // Each of these has a fault.
+	}
+}
+
+func TestSplitIsReadAsItIsWritten(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		split := settings.Split{{Service: "first", Weight: 1}}
+		for i := range rapid.IntRange(0, 5).Draw(rt, "parts") {
+			split = append(split, settings.Part{Service: fmt.Sprintf("s%d", i), Weight: rapid.IntRange(0, 1000).Draw(rt, "weight")})
+		}
+		again, err := settings.ParseSplit(split.String())
+		if err != nil || again.String() != split.String() {
+			rt.Fatalf("%v became %v: %v", split, again, err)
+		}
+	})
+}
