--- a/cactuskeeper/keeper/group.go
+++ b/cactuskeeper/keeper/group.go
@@ -86,7 +86,7 @@
 // callOthers tells every address where a keeper may be that this one is here.
 func (ke *Keeper) callOthers() {
 	cal := ke.call()
-	addresses := append(ke.group.opts.Seeds(), ke.group.opts.Known()...)
+	addresses := slices.Concat(ke.group.opts.Seeds(), ke.group.opts.Known())
 	slices.Sort(addresses)
 	for _, address := range slices.Compact(addresses) {
 		if address == ke.opts.PeerAddress {
@@ -161,14 +161,5 @@
 // isForming says whether the group is too small to accept changes. A group that
 // was once whole keeps accepting them while one of its members is replaced.
 func (ke *Keeper) isForming() bool {
-	if ke.group.opts.Size == 0 {
-		return false
-	}
-	voters := 0
-	for _, mem := range ke.node.Config().Members {
-		if mem.Voter {
-			voters++
-		}
-	}
-	return voters < ke.group.opts.Size && ke.store.Label() == 0
+	return ke.node.Config().Voters() < ke.group.opts.Size && ke.store.Label() == 0
 }
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -177,17 +177,24 @@
 	return ok && mem.Voter
 }
 
+// Voters returns how many voters the group has.
+func (co Config) Voters() int {
+	voters := 0
+	for _, mem := range co.Members {
+		if mem.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
 // HasQuorum says whether a majority of the voters satisfies a condition.
 func (co Config) HasQuorum(holds func(id string) bool) bool {
-	voters, votes := 0, 0
+	votes := 0
 	for _, mem := range co.Members {
-		if !mem.Voter {
-			continue
-		}
-		voters++
-		if holds(mem.ID) {
+		if mem.Voter && holds(mem.ID) {
 			votes++
 		}
 	}
-	return votes > voters/2
+	return votes > co.Voters()/2
 }
--- a/core/regroup/regroup.go
+++ b/core/regroup/regroup.go
@@ -156,12 +156,7 @@
 // removeGone removes a silent voter when the others are enough without it, and
 // a silent learner.
 func removeGone(view View) Step {
-	voters := 0
-	for _, mem := range view.Config.Members {
-		if mem.Voter {
-			voters++
-		}
-	}
+	voters := view.Config.Voters()
 	for _, mem := range view.Config.Members {
 		heard := view.Contacts[mem.ID].HeardAt
 		if heard.Before(view.LedSince) {
