--- a/cactusd/internal/gate/connection_test.go
+++ b/cactusd/internal/gate/connection_test.go
@@ -30,9 +30,9 @@
 	return dialect.Upstream{Attempt: "X-Id", KeepsAttempt: true, Deadline: "X-Left", Target: "X-Target", NotRun: "X-Not-Run", EndsByClose: true}
 }
 
-func newForeignGate(clo clock.Clock, policy *settings.Policy, callFailed func() time.Time) *gate.Gate {
+func newForeignGate(policy *settings.Policy, callFailed func() time.Time) *gate.Gate {
 	return gate.New(gate.Options{
-		Clock: clo, Dialect: foreign(), Log: events.Discard(), Metrics: metrics.NewRegistry(), CallFailed: callFailed,
+		Clock: clock.Real{}, Dialect: foreign(), Log: events.Discard(), Metrics: metrics.NewRegistry(), CallFailed: callFailed,
 		Policy: func(string) *settings.Policy { return policy }, Changed: func() {},
 	})
 }
@@ -153,7 +153,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			address, dials := serveScript(t, tc.answer)
-			ga := newForeignGate(clock.Real{}, defaultPolicy(), nil)
+			ga := newForeignGate(defaultPolicy(), nil)
 			announce(t, ga, address, 1)
 			for number := range 2 {
 				answer := ga.Run(context.Background(), foreignRequest(fmt.Sprint("id-", number), false))
@@ -181,7 +181,7 @@
 		time.Sleep(100 * time.Millisecond)
 		_ = con.Close()
 	})
-	ga := newForeignGate(clock.Real{}, defaultPolicy(), nil)
+	ga := newForeignGate(defaultPolicy(), nil)
 	announce(t, ga, address, 1)
 	for number := range 2 {
 		req := foreignRequest(fmt.Sprint(number), true)
@@ -200,7 +200,7 @@
 		seen <- req
 		return true
 	})
-	ga := newForeignGate(clock.Real{}, defaultPolicy(), nil)
+	ga := newForeignGate(defaultPolicy(), nil)
 	announce(t, ga, address, 1)
 	req := foreignRequest("id", false)
 	req.URI, req.Host = "/a%2Fb/../c?x=%20;y", "shop.example"
--- a/cactusd/internal/gate/doubt_test.go
+++ b/cactusd/internal/gate/doubt_test.go
@@ -39,7 +39,7 @@
 	is := is.New(t)
 	var status atomic.Int64
 	status.Store(500)
-	ga := newForeignGate(clock.Real{}, doubtPolicy(), nil)
+	ga := newForeignGate(doubtPolicy(), nil)
 	announce(t, ga, serveStatus(t, &status), 4)
 	is.Equal(ga.Run(context.Background(), foreignRequest("lost", false)).Outcome, outcome.Ran)
 	refused := ga.Run(context.Background(), foreignRequest("saved", false))
@@ -65,7 +65,7 @@
 	is := is.New(t)
 	var status atomic.Int64
 	status.Store(500)
-	ga := newForeignGate(clock.Real{}, doubtPolicy(), time.Now) // A caller on the own VM was just told of a failure.
+	ga := newForeignGate(doubtPolicy(), time.Now) // A caller on the own VM was just told of a failure.
 	announce(t, ga, serveStatus(t, &status), 4)
 	for number := range 10 {
 		is.Equal(ga.Run(context.Background(), foreignRequest(fmt.Sprint(number), false)).Outcome, outcome.Ran)
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -233,6 +233,7 @@
 }
 
 func (ga *Gate) forget(gu *guard) {
+	gu.client.conns.close()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.guards[gu.ann.ID] == gu {
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -156,7 +156,7 @@
 			wrote <- err
 		}()
 	}
-	resp, body, err := ex.read()
+	resp, body, err := ex.read() //nolint:bodyclose // It read the body and closed it.
 	if err != nil {
 		return ex.failure(ctx, err)
 	}
--- a/cactusd/internal/ingress/foreign_test.go
+++ b/cactusd/internal/ingress/foreign_test.go
@@ -61,10 +61,8 @@
 
 func free(fleet.Endpoint) (wire.QuoteAnswer, error) { return wire.QuoteAnswer{}, nil }
 
-func runs(status int) func(fleet.Endpoint, wire.RunRequest) (wire.RunAnswer, error) {
-	return func(fleet.Endpoint, wire.RunRequest) (wire.RunAnswer, error) {
-		return wire.RunAnswer{Outcome: outcome.Ran, Status: status, Header: wire.Header{}}, nil
-	}
+func runs(fleet.Endpoint, wire.RunRequest) (wire.RunAnswer, error) {
+	return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusOK, Header: wire.Header{}}, nil
 }
 
 // newForeign returns an ingress that speaks like a platform's, in front of a
@@ -167,7 +165,7 @@
 
 func TestShortestWaitIsChosen(t *testing.T) {
 	is := is.New(t)
-	runner := &quotingRunner{answer: runs(200), quote: func(end fleet.Endpoint) (wire.QuoteAnswer, error) {
+	runner := &quotingRunner{answer: runs, quote: func(end fleet.Endpoint) (wire.QuoteAnswer, error) {
 		if end.Key == "d1/u" {
 			return wire.QuoteAnswer{}, nil
 		}
@@ -186,7 +184,7 @@
 // quotes more than a request has left.
 func TestWhatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
-	runner := &quotingRunner{answer: runs(200), quote: func(fleet.Endpoint) (wire.QuoteAnswer, error) {
+	runner := &quotingRunner{answer: runs, quote: func(fleet.Endpoint) (wire.QuoteAnswer, error) {
 		return wire.QuoteAnswer{Wait: 6 * time.Second, Need: time.Second}, nil
 	}}
 	in := newForeign(t, runner, holderOf(t, foreignTree()))
@@ -202,7 +200,7 @@
 // gates refuse work that may run once only, and the fleet has not heard of it.
 func TestBodiesDoNotTravelToDoubtfulUpstreams(t *testing.T) {
 	is := is.New(t)
-	runner := &quotingRunner{answer: runs(200), quote: func(end fleet.Endpoint) (wire.QuoteAnswer, error) {
+	runner := &quotingRunner{answer: runs, quote: func(end fleet.Endpoint) (wire.QuoteAnswer, error) {
 		if end.Key == "d2/u" {
 			return wire.QuoteAnswer{}, nil
 		}
@@ -244,7 +242,7 @@
 func TestFirstSettingsAreWaitedFor(t *testing.T) {
 	is := is.New(t)
 	holder := emptyHolder()
-	in := newForeign(t, &quotingRunner{quote: free, answer: runs(200)}, holder)
+	in := newForeign(t, &quotingRunner{quote: free, answer: runs}, holder)
 	go func() {
 		time.Sleep(50 * time.Millisecond)
 		applyTree(t, holder, foreignTree())
