--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -141,7 +141,7 @@
 	}
 	da.ingress = ingress.New(ingressOpts)
 	da.follower = follower.New(follower.Options{Holder: da.holder, Keepers: da.keepers, Seeds: opts.Seeds, Log: opts.Log, Pool: da.pool, Ahead: da.fleet.Ahead})
-	spread.Serve(mux, da.holder)
+	spread.Serve(mux, da.holder, nil)
 	link.Handle(mux, wire.MethodRun, func(ctx context.Context, _ string, req wire.RunRequest) (wire.RunAnswer, error) {
 		return da.gate.Run(ctx, req), nil
 	})
--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -28,10 +28,13 @@
 	firstAskTimeout = time.Second
 	minBackoff      = 200 * time.Millisecond
 	maxBackoff      = 5 * time.Second
-	peerEvery       = 500 * time.Millisecond
+	peerEvery       = 300 * time.Millisecond
 	pullTimeout     = 5 * time.Second
-	watchTime       = 20 * time.Second
-	watchMargin     = 5 * time.Second
+	// watchTime is how long one request waits at a keeper. A keeper that is cut
+	// off from the others sends the next one away, so this bounds how long a
+	// daemon misses changes at it: well under the 2 s that a platform allows.
+	watchTime   = 800 * time.Millisecond
+	watchMargin = 700 * time.Millisecond
 )
 
 // Options are what a Follower is made of.
--- a/cactuskeeper/keeper/keeper.go
+++ b/cactuskeeper/keeper/keeper.go
@@ -79,6 +79,8 @@
 	work     chan func(now time.Time)
 	stopped  chan struct{}
 	stopping atomic.Bool
+	// hasLeader says that this keeper leads or hears the leader.
+	hasLeader atomic.Bool
 
 	// Owned by Run.
 	node      *consensus.Node
@@ -150,7 +152,7 @@
 	tra.setAddresses(node.Config())
 	link.HandleNotice(opts.Mux, methodMessage, ke.receive)
 	link.HandleNotice(opts.Mux, methodCall, ke.heardCall)
-	spread.Serve(opts.Mux, ke.holder)
+	spread.Serve(opts.Mux, ke.holder, ke.hasLeader.Load)
 	link.Handle(opts.Mux, spread.MethodNewest, ke.newest)
 	return ke, nil
 }
@@ -309,6 +311,7 @@
 
 func (ke *Keeper) fail(err error) {
 	ke.failed = err
+	ke.hasLeader.Store(false)
 	ke.failedAt = ke.opts.Clock.Now()
 	ke.opts.Log.Write(events.KeeperDiskFailed, logrus.Fields{"error": err.Error()})
 	for index, wai := range ke.waiting {
@@ -424,6 +427,7 @@
 }
 
 func (ke *Keeper) noteRole() {
+	ke.hasLeader.Store(ke.node.Leader() != "")
 	role := ke.node.Role()
 	if role == ke.lastRole {
 		return
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -76,6 +76,9 @@
 const (
 	maxCredit     = 4
 	serviceWeight = 0.1
+	// usualService stands for the time that a slot is held until some work has
+	// ended: about what the kinds of both deployments take.
+	usualService = 300 * time.Millisecond
 )
 
 // New returns a Queue of an upstream with a number of slots.
@@ -122,7 +125,11 @@
 // counts for the estimate of waits unless it is 0, as for work that failed.
 func (qu *Queue) Done(now time.Time, held time.Duration) {
 	qu.running--
-	if held > 0 {
+	switch {
+	case held <= 0:
+	case qu.service == 0:
+		qu.service = held
+	default:
 		qu.service += time.Duration(serviceWeight * float64(held-qu.service))
 	}
 	for qu.running < qu.slots && qu.waiting > 0 {
@@ -174,8 +181,12 @@
 	for i := 0; i <= rank; i++ {
 		ahead += qu.ranks[i].waiting
 	}
+	service := qu.service
+	if service == 0 {
+		service = usualService
+	}
 	rounds := float64(ahead) / float64(max(qu.slots, 1))
-	return time.Duration(rounds * float64(qu.service))
+	return time.Duration(rounds * float64(service))
 }
 
 // Waiting returns the items that wait, by rank.
--- a/core/rankqueue/refuse_test.go
+++ b/core/rankqueue/refuse_test.go
@@ -63,3 +63,15 @@
 	que.Done(now, time.Millisecond)
 	is.Equal(decisions["b"], rankqueue.Run)
 }
+
+func TestWaitIsEstimatedBeforeAnyWorkHasEnded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	que := rankqueue.New(2, rankqueue.Policy{Limit: 100})
+	for range 22 {
+		que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour), Decided: func(rankqueue.Decision) {}})
+	}
+	is.True(que.Wait(0) > time.Second) // Twenty wait for two slots of a daemon that has just started.
+	que.Done(now, time.Minute)
+	is.True(que.Wait(0) > 5*time.Minute) // The first work that ended tells more than what is usual.
+}
