--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,7 +2,7 @@
 # Runs all tests of all modules. Tests that KNOWN-RED.txt names are run by
 # themselves, printed, and passed over.
 set -uo pipefail
-cd "${CACTUS_ROOT:-$(dirname "$0")/..}"
+cd "$(dirname "$0")/.."
 # A line of KNOWN-RED.txt that begins with "test:" names module, package and
 # test, as: test: cactusd ./internal/story TestRollingRestart
 red=$(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
