fix: quoted waits honour the share of a rank

The other part, catalogo, was flooded by more urgent stock-check; its gates counted all of that as ahead of deposit-book and quoted waits beyond the deadline, although the rank's share of a tenth would have served it. Ruled out: the draw of the split (a quarter went there). Change: the estimate is the sooner of the queue ahead and the rank's own share.

--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -172,7 +172,8 @@
 // SetPolicy changes the limits from now on.
 func (qu *Queue) SetPolicy(policy Policy) { qu.policy = policy }
 
-// Wait estimates how long an item of a rank would wait for a slot.
+// Wait estimates how long an item of a rank would wait for a slot: until those
+// ahead of it have one, or, if that is sooner, until the rank's share brings it one.
 func (qu *Queue) Wait(rank int) time.Duration {
 	if qu.running < qu.slots && qu.waiting == 0 {
 		return 0
@@ -186,6 +187,9 @@
 		service = usualService
 	}
 	rounds := float64(ahead) / float64(max(qu.slots, 1))
+	if share := float64(qu.policy.Share[rank]*qu.slots) / 100; share > 0 {
+		rounds = min(rounds, float64(qu.ranks[rank].waiting+1)/share)
+	}
 	return time.Duration(rounds * float64(service))
 }
 
--- a/core/rankqueue/refuse_test.go
+++ b/core/rankqueue/refuse_test.go
@@ -75,3 +75,36 @@
 	que.Done(now, time.Minute)
 	is.True(que.Wait(0) > 5*time.Minute) // The first work that ended tells more than what is usual.
 }
+
+// TestFloodOfUrgentWorkDoesNotCloseAQueueToItsShare is the pattern of a service
+// that takes a part of another one's split: more urgent work floods it, and a
+// wait that counted all of that would turn the whole part away.
+func TestFloodOfUrgentWorkDoesNotCloseAQueueToItsShare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	que := rankqueue.New(5, rankqueue.Policy{Limit: 1000, Share: [rankqueue.RankCount]int{40, 20, 10, 5}})
+	decided := make(map[int]int)
+	add := func(rank int) rankqueue.Decision {
+		return que.Add(now, &rankqueue.Item{Rank: rank, Deadline: now.Add(4 * time.Second), Decided: func(dec rankqueue.Decision) {
+			if dec == rankqueue.Run {
+				decided[rank]++
+			}
+		}})
+	}
+	accepted := 0
+	for range 2000 { // Slots are free every 100 ms, work takes half a second.
+		now = now.Add(100 * time.Millisecond)
+		for range 3 {
+			add(1)
+		}
+		if dec := add(2); dec == rankqueue.Wait || dec == rankqueue.Run {
+			accepted++
+		}
+		if que.Running() == 5 {
+			que.Done(now, 500*time.Millisecond)
+		}
+	}
+	total := decided[1] + decided[2]
+	t.Logf("rank 2 got %d of %d slots, accepted %d", decided[2], total, accepted)
+	is.True(float64(decided[2]) >= 0.08*float64(total)) // Its share is a tenth.
+}
