fix: a refusal after the deadline has no time to come back

Cause: read as a newcomer: when the quotes end after a request's deadline, the time that is left is below 0 and the draw of the time to come back panics, which cuts the connection. TestQuotesThatEndAfterTheDeadline failed so before. Change: no time below 0.

--- a/cactusd/internal/ingress/foreign_test.go
+++ b/cactusd/internal/ingress/foreign_test.go
@@ -279,3 +279,19 @@
 	is.Equal(call(in, "/cut/8", "5000", "x").Code, 503)
 	is.Equal(len(runner.places()), 1) // The second was sent nowhere.
 }
+
+// TestQuotesThatEndAfterTheDeadline gives a request so little time that it is
+// over while the other quotes are waited for.
+func TestQuotesThatEndAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	runner := &quotingRunner{answer: runs, quote: func(end fleet.Endpoint) (wire.QuoteAnswer, error) {
+		if end.Key != "d0/u" {
+			time.Sleep(20 * time.Millisecond)
+		}
+		return wire.QuoteAnswer{Wait: 6 * time.Second}, nil
+	}}
+	in := newForeign(t, runner, holderOf(t, foreignTree()))
+	for range 20 {
+		is.Equal(call(in, "/cut/7", "2", "x").Code, 503)
+	}
+}
--- a/cactusd/internal/ingress/search.go
+++ b/cactusd/internal/ingress/search.go
@@ -115,7 +115,7 @@
 func (se *search) refuse(wait time.Duration) {
 	left := se.jo.deadline.Sub(se.in.opts.Clock.Now())
 	se.last = wire.NotRun(outcome.Overloaded, "the work could not end before the deadline")
-	latest := min(time.Duration(returnShare*float64(left)), wait)
+	latest := max(min(time.Duration(returnShare*float64(left)), wait), 0)
 	se.last.RetryAfter = latest/2 + rand.N(latest/2+1)
 }
 
