--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -65,7 +65,7 @@
 	CallerAddress string
 	// Claims are the limits of claims; nil where no request comes twice.
 	Claims *claim.Options
-	// Callers and Upstreams are how callers and upstreams speak.
+	// Callers and Upstreams are the HTTP contracts with them.
 	Callers   dialect.Caller
 	Upstreams dialect.Upstream
 	Clock     clock.Clock
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -266,7 +266,6 @@
 		return wire.NotRun(outcome.NoUpstream, "the upstream is on trial with another request"), true
 	}
 	gu.trying = true
-	gu.judge.State(now)
 	gu.judge.ObserveTrialArrival(now)
 	return wire.RunAnswer{}, false
 }
--- a/cactusd/internal/ingress/quote.go
+++ b/cactusd/internal/ingress/quote.go
@@ -49,7 +49,7 @@
 	}
 	var quotes []place.Quote
 	var from []int
-	mayTry := in.mayTry(jo) && len(sample) > 1
+	mayTry := in.mayTry(jo)
 	for _, quo := range in.askQuotes(ctx, jo, ends, sample) {
 		if quo.answer.Load.Doubtful {
 			if mayTry && rand.Float64() < doubtTrialShare {
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -16,12 +16,12 @@
 	// statsLife is how long what an answer said of latencies counts.
 	statsLife = time.Minute
 	maxStats  = 64
-	// doubtLife is how long a gate's word on doubt counts here; its own news
-	// travels to all daemons within that time.
 	// trialLife is how long an endpoint that was doubtful is offered trials.
 	trialLife = 5 * time.Second
 	// goneLife is how long a gate's word that an endpoint leaves counts here.
-	goneLife     = time.Second
+	goneLife = time.Second
+	// doubtLife is how long a gate's word on doubt counts here; the next quote
+	// renews it.
 	doubtLife    = 200 * time.Millisecond
 	minPathPause = 500 * time.Millisecond
 	maxPathPause = 8 * time.Second
--- a/cactuskeeper/keeper/keeper.go
+++ b/cactuskeeper/keeper/keeper.go
@@ -79,7 +79,7 @@
 	work     chan func(now time.Time)
 	stopped  chan struct{}
 	stopping atomic.Bool
-	// hasLeader says that this keeper leads or hears the leader.
+	// hasLeader says that this keeper leads or is in contact with the leader.
 	hasLeader atomic.Bool
 
 	// Owned by Run.
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -1,6 +1,6 @@
-// Package dialect says under which names and rules callers and upstreams speak
-// HTTP with the fleet, so that the same ingress and gate serve the product's own
-// contracts and those of a platform.
+// Package dialect holds the header names and rules of the HTTP contracts with
+// callers and upstreams, so that the same ingress and gate serve the product's
+// own contracts and those of a platform.
 //
 // Usage:
 //
@@ -12,7 +12,7 @@
 
 import "cactusstream.example/core/outcome"
 
-// Caller is how callers and the ingress speak.
+// Caller is the contract between callers and the ingress.
 type Caller struct {
 	// Deadline is the header with the milliseconds that the caller waits.
 	Deadline string
@@ -33,7 +33,7 @@
 	StrictRefusals bool
 }
 
-// Upstream is how the gate and upstreams speak.
+// Upstream is the contract between the gate and upstreams.
 type Upstream struct {
 	// Attempt is the header that an upstream repeats in its answer.
 	Attempt string
@@ -46,10 +46,6 @@
 	// NotRun is the header, with any value, of an answer of an upstream that did
 	// not run the request.
 	NotRun string
-	// Identity is the header of a health answer that holds the upstream's id.
-	Identity string
-	// Load is the header with running, waiting and slots, with commas between.
-	Load string
 	// EndsByClose accepts answers without a length that end with their connection.
 	EndsByClose bool
 }
