refactor: one way to run a program's command line

Change: process.Execute; cactusctl keeps its own words for errors. Ruled out: a module of its own for it, as core/process is what every program does alike.

--- a/cactusctl/internal/cmd/root.go
+++ b/cactusctl/internal/cmd/root.go
@@ -36,15 +36,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	root := newRootCmd()
-	root.SetArgs(args)
-	root.SetOut(stdout)
-	root.SetErr(stderr)
-	err := root.Execute()
-	if err != nil {
-		fmt.Fprintln(stderr, "cactusctl:", describe(err))
-	}
-	return process.ExitCode(err)
+	return process.Execute(newRootCmd(), args, stdout, stderr, describe)
 }
 
 func newRootCmd() *cobra.Command {
@@ -60,9 +52,6 @@
 CACTUS_AUTHORITY.
 
 Exit codes: 0 done; 1 failed; 2 wrong use; 4 the change lost a race.`,
-		Version:       process.Version,
-		SilenceErrors: true,
-		SilenceUsage:  true,
 		PersistentPreRunE: func(*cobra.Command, []string) error {
 			if ap.output != "table" && ap.output != "json" {
 				return &process.ExitError{Code: process.ExitUsage, Err: fmt.Errorf("output %q: want table or json", ap.output)}
@@ -70,9 +59,6 @@
 			return nil
 		},
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
-		return &process.ExitError{Code: process.ExitUsage, Err: err}
-	})
 	flags := root.PersistentFlags()
 	flags.StringSliceVar(&ap.keepers, "keepers", listFromEnv("CACTUS_KEEPERS"), "operators' addresses of keepers")
 	flags.StringSliceVar(&ap.daemons, "daemons", listFromEnv("CACTUS_DAEMONS"), "operators' addresses of some daemons")
--- a/cactuskeeper/internal/cmd/root.go
+++ b/cactuskeeper/internal/cmd/root.go
@@ -2,7 +2,6 @@
 package cmd
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
@@ -12,15 +11,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	root := newRootCmd()
-	root.SetArgs(args)
-	root.SetOut(stdout)
-	root.SetErr(stderr)
-	err := root.Execute()
-	if err != nil {
-		fmt.Fprintln(stderr, "cactuskeeper:", err)
-	}
-	return process.ExitCode(err)
+	return process.Execute(newRootCmd(), args, stdout, stderr, error.Error)
 }
 
 func newRootCmd() *cobra.Command {
@@ -31,13 +22,7 @@
 agrees with the other keepers on every change.
 
 Exit codes: 0 done; 1 failed; 2 wrong use or configuration; 3 a stop cut work.`,
-		Version:       process.Version,
-		SilenceErrors: true,
-		SilenceUsage:  true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
-		return &process.ExitError{Code: process.ExitUsage, Err: err}
-	})
 	root.AddCommand(newCheckCmd(), newInitCmd(), newKeygenCmd(), newRunCmd())
 	return root
 }
--- /dev/null
+++ b/core/process/command.go
@@ -0,0 +1,27 @@
+package process
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Execute runs the command line of a program and returns the exit code. Wrong
+// flags are wrong use; an error is printed once, as describe puts it.
+func Execute(root *cobra.Command, args []string, stdout, stderr io.Writer, describe func(error) string) int {
+	root.Version = Version
+	root.SilenceErrors = true
+	root.SilenceUsage = true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &ExitError{Code: ExitUsage, Err: err}
+	})
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %s\n", root.Name(), describe(err))
+	}
+	return ExitCode(err)
+}
