fix: a gate opens no more connections than its upstream accepts

Cause: read again, the gate's own connections replaced a transport that was bounded by the smaller of the announced connections and the slots; since then only the slots bounded them. Ruled out: a bound in the pool of connections alone, where requests with a slot would wait unseen by the queue. Change: the queue gives out no more slots than there are connections.

--- a/cactusd/internal/gate/connection_test.go
+++ b/cactusd/internal/gate/connection_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -212,3 +213,34 @@
 	is.Equal(got.Header["X-Id"], []string{"id"})
 	is.Equal(got.Header["User-Agent"], nil)
 }
+
+// TestConnectionsStayWithinTheAnnouncedBound has an upstream that takes fewer
+// connections than it has slots.
+func TestConnectionsStayWithinTheAnnouncedBound(t *testing.T) {
+	is := is.New(t)
+	var open, most atomic.Int64
+	address := rawUpstream(t, func(con net.Conn) {
+		defer func() { _ = con.Close() }()
+		now := open.Add(1)
+		defer open.Add(-1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		reader := bufio.NewReader(con)
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+			write(con, req.Header.Get("X-Id"), "whole", "")
+		}
+	})
+	ga := newForeignGate(defaultPolicy(), nil)
+	is.NoErr(ga.Announce(gate.Announcement{ID: "u", Service: "s", Address: address, Slots: 4, Connections: 2}))
+	var group sync.WaitGroup
+	for number := range 20 {
+		group.Go(func() { ga.Run(context.Background(), foreignRequest(fmt.Sprint(number), true)) })
+	}
+	group.Wait()
+	is.Equal(most.Load(), int64(2))
+}
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -89,6 +89,12 @@
 	return &Gate{opts: opts, guards: make(map[string]*guard)}
 }
 
+// concurrency returns how many requests the upstream may have at once: each
+// needs a slot and a connection of its own.
+func (an Announcement) concurrency() int {
+	return min(an.Slots, an.Connections)
+}
+
 // Announce takes or renews an announcement.
 func (ga *Gate) Announce(ann Announcement) error {
 	isNew, err := ga.take(ann)
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -58,7 +58,7 @@
 		ann:      ann,
 		opts:     opts,
 		client:   newUpstreamClient(ann, opts.Dialect),
-		queue:    rankqueue.New(ann.Slots, queuePolicy(policy)),
+		queue:    rankqueue.New(ann.concurrency(), queuePolicy(policy)),
 		judge:    health.NewJudge(healthPolicy(policy)),
 		filter:   gray.NewFilter(grayPolicy(policy)),
 		kinds:    make(map[string]*health.Latency),
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -53,7 +53,7 @@
 )
 
 func newUpstreamClient(ann Announcement, dia dialect.Upstream) *upstreamClient {
-	return &upstreamClient{id: ann.ID, dialect: dia, conns: &connections{address: ann.Address, most: ann.Slots}}
+	return &upstreamClient{id: ann.ID, dialect: dia, conns: &connections{address: ann.Address, most: ann.concurrency()}}
 }
 
 // send runs one attempt on the upstream. The slot is held by the caller.
