--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -156,13 +156,19 @@
 }
 
 // Start listens and serves. Callers' requests wait a little until settings are
-// in force and the fleet is known.
+// in force and the fleet is known. Where keys are claimed the callers themselves
+// wait, since a key whose holders are not known ends as unknown.
 func (da *Daemon) Start(ctx context.Context) error {
 	ctx, da.cancel = context.WithCancel(ctx)
-	for _, srv := range []*process.Server{da.peers, da.operators, da.callers} {
-		if err := srv.Start(); err != nil {
-			return fmt.Errorf("daemon: %w", err)
-		}
+	if err := startAll(da.peers, da.operators); err != nil {
+		return err
+	}
+	if da.claims != nil {
+		da.follower.Start(ctx)
+		da.fleet.Join(ctx)
+	}
+	if err := startAll(da.callers); err != nil {
+		return err
 	}
 	go da.fleet.Run(ctx)
 	go da.follower.Run(ctx)
@@ -174,6 +180,15 @@
 	return nil
 }
 
+func startAll(servers ...*process.Server) error {
+	for _, srv := range servers {
+		if err := srv.Start(); err != nil {
+			return fmt.Errorf("daemon: %w", err)
+		}
+	}
+	return nil
+}
+
 // Stop leaves the fleet without cutting a request: the upstreams beside this
 // daemon take no new work, callers are sent elsewhere, what is in flight ends.
 func (da *Daemon) Stop(ctx context.Context) error {
--- a/core/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -9,6 +9,13 @@
 	"cactusstream.example/core/member"
 )
 
+// Join compares tables with every seed once, so that a daemon knows the fleet
+// before it takes requests.
+func (fl *Fleet) Join(ctx context.Context) {
+	fl.syncAll(ctx, fl.otherSeeds())
+	fl.refreshView()
+}
+
 // syncLoop compares tables with others: often until somebody is known, then
 // now and then with a daemon at random, and with one that is gone, or a seed,
 // so that two halves of a fleet find each other again.
