feat: ask other zones only when they could win; a bout sends away all that waits

Quotes of other zones were asked for each request although they win only over a wait of zoneCost. Ruled out: quotes as the main part of the bytes between zones. Change: place.IsSettled; RefuseIf takes all but forced work, before the slot is given out. TestBoutSendsAwayWhatWaits failed before (0 of 9 sent away).

--- a/cactusd/internal/gate/doubt.go
+++ b/cactusd/internal/gate/doubt.go
@@ -40,9 +40,9 @@
 	gu.filter.Observe(now, started, evidence)
 }
 
-// noteDoubt logs a change of the doubt and sends waiting work that may run once
-// only elsewhere; it says whether the fleet should hear of the change. The
-// caller holds the lock.
+// noteDoubt logs a change of the doubt and sends the work that waits elsewhere:
+// in a bout it would fail as fast as slots come free. It says whether the change
+// is news for the fleet. The caller holds the lock.
 func (gu *guard) noteDoubt(now time.Time) bool {
 	doubtful := gu.filter.IsDoubtful(now)
 	if doubtful == gu.doubtful {
@@ -52,7 +52,7 @@
 	event := events.UpstreamTrusted
 	if doubtful {
 		event = events.UpstreamDoubtful
-		gu.queue.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return item.Once })
+		gu.queue.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return !item.Forced })
 	}
 	gu.opts.Log.Write(event, logrus.Fields{"upstream": gu.ann.ID, "service": gu.ann.Service, "estimate": gu.filter.Estimate(now), "evidence": gu.filter.LastEvidence().String()})
 	return gu.opts.Policy(gu.ann.Service).Quotes == 0
--- a/cactusd/internal/gate/doubt_test.go
+++ b/cactusd/internal/gate/doubt_test.go
@@ -117,3 +117,46 @@
 	is.Equal(ga.Records()[0].State.String(), "draining")
 	is.Equal(ga.Announce(ann(time.Second, 4)), gate.ErrLeft)
 }
+
+// TestBoutSendsAwayWhatWaits is the pattern of a burst that meets the beginning
+// of a bout: work that may be repeated waits for a slot, and all of it would
+// fail within milliseconds of each other and use up the repeats of its service.
+func TestBoutSendsAwayWhatWaits(t *testing.T) {
+	is := is.New(t)
+	const waiting = 10
+	var arrivals atomic.Int64
+	release := make(chan struct{})
+	address, _ := serveScript(t, func(con net.Conn, _ int64, req *http.Request) bool {
+		status := 500
+		if arrivals.Add(1) == 1 {
+			<-release
+			status = 200
+		}
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 %d Status\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", status, req.Header.Get("X-Id"))
+		return true
+	})
+	ga := newForeignGate(doubtPolicy(), nil)
+	announce(t, ga, address, 1)
+	answers := make(chan wire.RunAnswer, waiting+1)
+	run := func(attempt string) { answers <- ga.Run(context.Background(), foreignRequest(attempt, true)) }
+	go run("first")
+	for arrivals.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for number := range waiting {
+		go run(fmt.Sprint("waits-", number))
+	}
+	for fmt.Sprint(ga.Dump()[0]["waitingByRank"]) != fmt.Sprintf("[0 %d 0 0]", waiting) {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	refused := 0
+	for range waiting + 1 {
+		if answer := <-answers; answer.Outcome == outcome.NotRun {
+			is.Equal(answer.Reason, outcome.Doubtful)
+			refused++
+		}
+	}
+	is.Equal(refused, waiting-1) // One showed that the bout had begun.
+	is.Equal(arrivals.Load(), int64(2))
+}
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -229,7 +229,7 @@
 func (gu *guard) admit(ctx context.Context, req wire.RunRequest) (wire.RunAnswer, bool) {
 	decided := make(chan rankqueue.Decision, 1)
 	now := gu.opts.Clock.Now()
-	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Once: !req.Idempotent && !req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
+	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Forced: req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
 	if refusal, refused := gu.refusal(now, req); refused {
 		gu.mu.Unlock()
@@ -333,8 +333,10 @@
 	gu.mu.Lock()
 	now := gu.opts.Clock.Now()
 	took := now.Sub(started)
+	changed := false
 	if !sent.abandoned {
 		gu.observe(now, started, req, sent)
+		changed = gu.noteDoubt(now) // Before the slot goes to work that waits.
 	}
 	held := took
 	if sent.failed || sent.shed || sent.abandoned {
@@ -350,7 +352,7 @@
 	if req.Trial {
 		gu.trying = false
 	}
-	changed := gu.noteState(now)
+	changed = gu.noteState(now) || changed
 	gu.mu.Unlock()
 	gu.opts.Metrics.Observe("gate.runMicros", took)
 	if changed {
--- a/cactusd/internal/ingress/foreign_test.go
+++ b/cactusd/internal/ingress/foreign_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,6 +181,36 @@
 	}
 }
 
+// TestOtherZonesAreAskedOnlyWhenTheyCouldWin is the pattern of an ordinary hour:
+// slots are free in the own availability zone, and bytes between zones are dear.
+func TestOtherZonesAreAskedOnlyWhenTheyCouldWin(t *testing.T) {
+	cases := []struct {
+		name string
+		wait time.Duration
+		far  bool
+	}{
+		{"a slot is free in the own zone", 0, false},
+		{"the wait there is shorter than crossing costs", 200 * time.Millisecond, false},
+		{"the wait there is longer", 400 * time.Millisecond, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var asked atomic.Int64
+			runner := &quotingRunner{answer: runs, quote: func(end fleet.Endpoint) (wire.QuoteAnswer, error) {
+				if end.Zone != "z" {
+					asked.Add(1)
+					return wire.QuoteAnswer{}, nil
+				}
+				return wire.QuoteAnswer{Wait: tc.wait}, nil
+			}}
+			tree := foreignTree().Apply([]settings.Edit{{Path: settings.RootSection, Key: "zoneCost", Value: "250ms"}})
+			is.Equal(call(newForeign(t, runner, holderOf(t, tree)), "/cut/7", "5000", "x").Code, 200)
+			is.Equal(asked.Load() > 0, tc.far)
+		})
+	}
+}
+
 // TestWhatCannotEndInTimeIsRefusedAtOnce is the pattern of a flood: every gate
 // quotes more than a request has left.
 func TestWhatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
--- a/cactusd/internal/ingress/quote.go
+++ b/cactusd/internal/ingress/quote.go
@@ -43,32 +43,53 @@
 		}
 		places = append(places, pla)
 	}
-	sample := place.Sample(rand.New(globalSource{}), places, policy)
-	if len(sample) == 1 {
-		return choice{end: ends[sample[0]]}, true, 0
+	near, far := place.Sample(rand.New(globalSource{}), places, policy)
+	if len(near)+len(far) == 1 {
+		return choice{end: ends[append(near, far...)[0]]}, true, 0
 	}
-	var quotes []place.Quote
-	var from []int
-	mayTry := in.mayTry(jo)
-	for _, quo := range in.askQuotes(ctx, jo, ends, sample) {
-		if quo.answer.Load.Doubtful {
-			if mayTry && rand.Float64() < doubtTrialShare {
-				return choice{end: ends[quo.at], trial: true}, true, 0
-			}
-			continue
-		}
-		quotes = append(quotes, place.Quote{Place: places[quo.at], Wait: quo.answer.Wait, Need: quo.answer.Need})
-		from = append(from, quo.at)
+	remaining := jo.deadline.Sub(in.opts.Clock.Now())
+	asked := round{places: places}
+	asked.add(in.askQuotes(ctx, jo, ends, near))
+	if !place.IsSettled(asked.quotes, remaining, policy) {
+		asked.add(in.askQuotes(ctx, jo, ends, far))
 	}
-	ver := place.Best(quotes, jo.deadline.Sub(in.opts.Clock.Now()), policy)
+	if len(asked.doubtful) > 0 && in.mayTry(jo) && rand.Float64() < doubtTrialShare {
+		return choice{end: ends[asked.doubtful[0]], trial: true}, true, 0
+	}
+	ver := place.Best(asked.quotes, remaining, policy)
 	if ver.At < 0 {
 		return choice{}, false, 0
 	}
-	return choice{end: ends[from[ver.At]]}, ver.InTime, quotes[ver.At].Wait + quotes[ver.At].Need
+	best := asked.quotes[ver.At]
+	return choice{end: ends[asked.from[ver.At]]}, ver.InTime, best.Wait + best.Need
+}
+
+// round is what the endpoints that were asked for one choice have quoted.
+type round struct {
+	places []place.Place
+	quotes []place.Quote
+	// from is the index of each quote's endpoint.
+	from []int
+	// doubtful are the endpoints that would take a trial.
+	doubtful []int
+}
+
+func (ro *round) add(quotes []quoted) {
+	for _, quo := range quotes {
+		if quo.answer.Load.Doubtful {
+			ro.doubtful = append(ro.doubtful, quo.at)
+			continue
+		}
+		ro.quotes = append(ro.quotes, place.Quote{Place: ro.places[quo.at], Wait: quo.answer.Wait, Need: quo.answer.Need})
+		ro.from = append(ro.from, quo.at)
+	}
 }
 
 // askQuotes returns the quotes of endpoints that would take the request.
 func (in *Ingress) askQuotes(ctx context.Context, jo *job, ends []fleet.Endpoint, sample []int) []quoted {
+	if len(sample) == 0 {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, quoteTimeout)
 	defer cancel()
 	answers := make(chan quoted, len(sample))
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -12,7 +12,9 @@
 //
 // Usage:
 //
-//	for _, at := range place.Sample(rng, places, policy) { quotes = append(quotes, ask(at)) }
+//	near, far := place.Sample(rng, places, policy)
+//	quotes := ask(near)
+//	if !place.IsSettled(quotes, remaining, policy) { quotes = append(quotes, ask(far)...) }
 //	verdict := place.Best(quotes, remaining, policy)
 package place
 
@@ -77,19 +79,27 @@
 	return ver
 }
 
-// Sample returns the indexes of the places to ask, at random. Where the own
-// zone has fewer than Near, others take their part.
-func Sample(rng *rand.Rand, places []Place, policy Policy) []int {
-	var near, far []int
+// IsSettled says whether the best of the quotes of the own zone stands whatever
+// other zones would quote, so that they need not be asked: no wait there is
+// shorter than none, and crossing zones has its cost.
+func IsSettled(quotes []Quote, remaining time.Duration, policy Policy) bool {
+	ver := Best(quotes, remaining, policy)
+	return ver.InTime && policy.cost(quotes[ver.At]) <= policy.FarCost
+}
+
+// Sample returns the indexes of the places to ask, at random: those of the own
+// zone, and those of others. Where the own zone has fewer than Near, others take
+// their part.
+func Sample(rng *rand.Rand, places []Place, policy Policy) (near, far []int) {
 	for _, at := range rng.Perm(len(places)) {
-		if places[at].Zone == policy.Zone && len(near) < policy.Near {
-			near = append(near, at)
-		} else if places[at].Zone != policy.Zone {
+		if places[at].Zone != policy.Zone {
 			far = append(far, at)
+		} else if len(near) < policy.Near {
+			near = append(near, at)
 		}
 	}
 	most := policy.Far + policy.Near - len(near)
-	return append(near, far[:min(most, len(far))]...)
+	return near, far[:min(most, len(far))]
 }
 
 func (po Policy) cost(quo Quote) time.Duration {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -87,19 +87,45 @@
 	}
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 100 {
-		near := 0
-		sample := place.Sample(rng, places, place.Policy{Zone: "a", Near: 2, Far: 1})
-		for _, at := range sample {
-			if places[at].Zone == "a" {
-				near++
-			}
+		near, far := place.Sample(rng, places, place.Policy{Zone: "a", Near: 2, Far: 1})
+		is.Equal(len(near), 2)
+		is.Equal(len(far), 1)
+		for _, at := range near {
+			is.Equal(places[at].Zone, "a")
 		}
-		is.Equal(len(sample), 3)
-		is.Equal(near, 2)
-		is.Equal(len(place.Sample(rng, places[3:], place.Policy{Zone: "a", Near: 2, Far: 1})), 3) // Others take the part of the own zone.
+		is.Equal(places[far[0]].Zone, "b")
+		near, far = place.Sample(rng, places[3:], place.Policy{Zone: "a", Near: 2, Far: 1})
+		is.Equal(len(near), 0)
+		is.Equal(len(far), 3) // Others take the part of the own zone.
 	}
 }
 
+// TestSettledNearQuoteIsNeverBeaten draws waits: where the own zone settles the
+// choice, no quote of another zone changes it.
+func TestSettledNearQuoteIsNeverBeaten(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		policy := place.Policy{Zone: "a", FarCost: 10, Margin: 0.75}
+		remaining := time.Duration(rapid.IntRange(1, 100).Draw(rt, "remaining"))
+		draw := func(zone string) []place.Quote {
+			var quotes []place.Quote
+			for range rapid.IntRange(0, 3).Draw(rt, "count") {
+				quo := quote(zone, time.Duration(rapid.IntRange(0, 30).Draw(rt, "wait")), time.Duration(rapid.IntRange(0, 30).Draw(rt, "need")))
+				quo.Cost = time.Duration(rapid.IntRange(0, 5).Draw(rt, "cost"))
+				quotes = append(quotes, quo)
+			}
+			return quotes
+		}
+		near := draw("a")
+		if !place.IsSettled(near, remaining, policy) {
+			return
+		}
+		both := append(append([]place.Quote(nil), near...), draw("b")...)
+		if got, want := place.Best(both, remaining, policy), place.Best(near, remaining, policy); got != want {
+			rt.Fatalf("Best = %v with the other zone, %v without, of %v", got, want, both)
+		}
+	})
+}
+
 // load is a load file of testdata: the upstreams of a service, and daemons that
 // choose among them.
 type load struct {
@@ -215,7 +241,7 @@
 			policy := place.Policy{Near: 2, Far: 2, Margin: 0.75}
 			ours, oursWasted := replay(loa, func(rng *rand.Rand, _ []int, servers []*server, now float64) (int, bool) {
 				var quotes []place.Quote
-				sample := place.Sample(rng, places, place.Policy{Near: 4})
+				sample, _ := place.Sample(rng, places, place.Policy{Near: 4})
 				for _, at := range sample {
 					quotes = append(quotes, place.Quote{Wait: time.Duration(servers[at].wait(now) * float64(time.Second)), Need: need})
 				}
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -47,8 +47,8 @@
 	// Need is how long the work usually takes; less than that before its deadline
 	// it is refused, as its slot would be lost. 0 means that it is not known.
 	Need time.Duration
-	// Once says that the work may run once only.
-	Once bool
+	// Forced says that no better upstream is left for the work.
+	Forced bool
 	// Attempt is the id by which the work can be withdrawn.
 	Attempt string
 	// Decided is told once what became of an item that waited.
--- a/core/rankqueue/refuse_test.go
+++ b/core/rankqueue/refuse_test.go
@@ -50,15 +50,15 @@
 	now := time.Unix(100, 0)
 	que := rankqueue.New(1, rankqueue.Policy{Limit: 100})
 	decisions := make(map[string]rankqueue.Decision)
-	add := func(attempt, firm string, rank int, once bool) {
-		que.Add(now, &rankqueue.Item{Attempt: attempt, Firm: firm, Rank: rank, Once: once, Deadline: now.Add(time.Hour), Decided: func(dec rankqueue.Decision) { decisions[attempt] = dec }})
+	add := func(attempt, firm string, rank int, isForced bool) {
+		que.Add(now, &rankqueue.Item{Attempt: attempt, Firm: firm, Rank: rank, Forced: isForced, Deadline: now.Add(time.Hour), Decided: func(dec rankqueue.Decision) { decisions[attempt] = dec }})
 	}
 	add("running", "f", 0, true)
 	add("a", "f", 1, true)
 	add("b", "f", 1, false)
 	add("c", "g", 2, true)
 	add("d", "f", 1, true)
-	que.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return item.Once })
+	que.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return item.Forced })
 	is.Equal(decisions, map[string]rankqueue.Decision{"a": rankqueue.RefuseDoubtful, "c": rankqueue.RefuseDoubtful, "d": rankqueue.RefuseDoubtful})
 	que.Done(now, time.Millisecond)
 	is.Equal(decisions["b"], rankqueue.Run)
