feat: gates keep the retry budget as a ledger over its window

Ruled out: longer bouts as the cause of long doubt; trials at the end of these showed work that ended well at once. Change: budget.Ledger at each gate, over the window of the rule; gates refuse a repeat over their part with proof, and quotes carry what is left. Daemons without quotes keep their own budgets as before.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	da.gate = gate.New(gate.Options{Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, Changed: da.announce, CallFailed: func() time.Time { return da.ingress.FailedAt() }})
+	da.gate = gate.New(gate.Options{Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, Changed: da.announce, Peers: da.peersOf, CallFailed: func() time.Time { return da.ingress.FailedAt() }})
 	ingressOpts := ingress.Options{
 		Clock: opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Holder: da.holder, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
 		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
@@ -225,6 +225,15 @@
 	return da.fleet.View().Members[id].PeerAddress
 }
 
+// peersOf returns how many upstreams of a service this daemon knows of.
+func (da *Daemon) peersOf(service string) int {
+	pool := da.fleet.View().Pools[service]
+	if pool == nil {
+		return 1
+	}
+	return len(pool.Endpoints)
+}
+
 // IsReady says whether the daemon has settings and takes new callers.
 func (da *Daemon) IsReady() bool {
 	return !da.stopping.Load() && da.holder.Current().Version > 0
--- a/cactusd/internal/gate/doubt_test.go
+++ b/cactusd/internal/gate/doubt_test.go
@@ -160,3 +160,31 @@
 	is.Equal(refused, waiting-1) // One showed that the bout had begun.
 	is.Equal(arrivals.Load(), int64(2))
 }
+
+// TestRepeatsAreBoundedAtTheGate sends first attempts and twice as many repeats.
+func TestRepeatsAreBoundedAtTheGate(t *testing.T) {
+	is := is.New(t)
+	var status atomic.Int64
+	status.Store(200)
+	policy := doubtPolicy()
+	policy.RetryPercent, policy.RetryWindow = 20, time.Hour
+	ga := newForeignGate(policy, nil)
+	announce(t, ga, serveStatus(t, &status), 4)
+	const firsts = 50
+	for number := range firsts {
+		is.Equal(ga.Run(context.Background(), foreignRequest(fmt.Sprint("first-", number), true)).Outcome, outcome.Ran)
+	}
+	ran := 0
+	for number := range 2 * firsts {
+		req := foreignRequest(fmt.Sprint("repeat-", number), true)
+		req.Repeat = true
+		answer := ga.Run(context.Background(), req)
+		if answer.Outcome == outcome.Ran {
+			ran++
+			continue
+		}
+		is.Equal(answer.Reason, outcome.NoRepeats)
+		is.Equal(ga.Quote(wire.QuoteRequest{Upstream: "u", Repeat: true}).Refused, outcome.NoRepeats)
+	}
+	is.Equal(ran, firsts*policy.RetryPercent/100-2) // Two are kept for trials.
+}
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -62,6 +62,8 @@
 	// CallFailed returns when a caller on the own VM was last answered with a
 	// failure; nil where that is not known.
 	CallFailed func() time.Time
+	// Peers returns how many upstreams a service has in the fleet; nil stands for one.
+	Peers func(service string) int
 	// Changed is told when what stands beside the daemon has changed.
 	Changed func()
 }
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/budget"
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/gray"
 	"cactusstream.example/core/health"
@@ -38,6 +39,7 @@
 	queue    *rankqueue.Queue
 	judge    *health.Judge
 	filter   *gray.Filter
+	ledger   budget.Ledger
 	kinds    map[string]*health.Latency
 	warmAt   time.Time
 	readyAt  time.Time
@@ -231,7 +233,11 @@
 	now := gu.opts.Clock.Now()
 	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Forced: req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
-	if refusal, refused := gu.refusal(now, req); refused {
+	refusal, refused := gu.refusal(now, req)
+	if !refused && req.Repeat && !gu.ledger.Take(now, gu.budgetPolicy(), gu.peers(), reserveOf(req.AfterTrial)) {
+		refusal, refused = wire.NotRun(outcome.NoRepeats, "the retry budget of the service is used up"), true
+	}
+	if refused {
 		gu.mu.Unlock()
 		return refusal, true
 	}
@@ -241,6 +247,7 @@
 	if dec == rankqueue.Wait {
 		dec = gu.await(ctx, item, decided)
 	}
+	gu.noteArrival(req, dec)
 	if dec == rankqueue.Run {
 		return wire.RunAnswer{}, false
 	}
@@ -392,7 +399,7 @@
 
 // load returns what the upstream has to do; the caller holds the lock.
 func (gu *guard) load(now time.Time) wire.Load {
-	load := wire.Load{Running: gu.queue.Running(), Doubtful: gu.filter.IsDoubtful(now)}
+	load := wire.Load{Running: gu.queue.Running(), Doubtful: gu.filter.IsDoubtful(now), Repeats: gu.ledger.Left(now, gu.budgetPolicy(), gu.peers())}
 	for _, count := range gu.queue.Waiting() {
 		load.Waiting += count
 	}
--- /dev/null
+++ b/cactusd/internal/gate/repeats.go
@@ -0,0 +1,46 @@
+package gate
+
+import (
+	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/budget"
+	"cactusstream.example/core/rankqueue"
+)
+
+// trialReserve is how many repeats are kept for trials that fail: their own, and
+// one for work that fails by chance.
+const trialReserve = 2
+
+func reserveOf(afterTrial bool) int {
+	if afterTrial {
+		return 0
+	}
+	return trialReserve
+}
+
+// budgetPolicy returns the retry budget of the service; the caller holds the lock.
+func (gu *guard) budgetPolicy() budget.Policy {
+	po := gu.opts.Policy(gu.ann.Service)
+	return budget.Policy{Window: po.RetryWindow, Percent: po.RetryPercent, Slack: float64(po.RetrySlack) * po.RetryWindow.Minutes()}
+}
+
+// peers returns how many upstreams share the budget.
+func (gu *guard) peers() int {
+	if gu.opts.Peers == nil {
+		return 1
+	}
+	return gu.opts.Peers(gu.ann.Service)
+}
+
+// noteArrival counts an attempt that goes to the upstream, and gives back the
+// repeat of one that does not.
+func (gu *guard) noteArrival(req wire.RunRequest, dec rankqueue.Decision) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	now := gu.opts.Clock.Now()
+	switch {
+	case dec == rankqueue.Run && !req.Repeat:
+		gu.ledger.First(now, gu.budgetPolicy())
+	case dec != rankqueue.Run && req.Repeat:
+		gu.ledger.GiveBack(now, gu.budgetPolicy())
+	}
+}
--- a/cactusd/internal/ingress/answer.go
+++ b/cactusd/internal/ingress/answer.go
@@ -64,7 +64,7 @@
 	in.opts.Metrics.Counter("ingress.outcome." + string(answer.Outcome)).Inc(1)
 	fields := logrus.Fields{
 		"request": jo.id, "service": jo.path.Service, "kind": jo.path.Kind, "outcome": answer.Outcome, "attempts": jo.attempts,
-		"endpoints": jo.tried, "heldMillis": in.opts.Clock.Now().Sub(jo.arrived).Milliseconds(), "settings": in.opts.Holder.Current().Version,
+		"endpoints": jo.tried, "heldMillis": in.opts.Clock.Now().Sub(jo.began).Milliseconds(), "settings": in.opts.Holder.Current().Version,
 	}
 	if answer.Outcome == outcome.Ran {
 		fields["status"] = answer.Status
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -42,9 +42,9 @@
 			break
 		}
 		try := in.try(ctx, jo, cho)
-		sea.last = try.answer
-		mayHaveRun = mayHaveRun || sea.last.Outcome != outcome.NotRun
-		if isGood(sea.last) || !try.paid && !in.mayRepeat(jo, cho, sea.last) {
+		sea.note(try.answer)
+		mayHaveRun = mayHaveRun || try.answer.Outcome != outcome.NotRun
+		if isGood(try.answer) || !try.paid && !in.mayRepeat(jo, cho, try.answer) {
 			break
 		}
 	}
@@ -65,7 +65,7 @@
 	if last.Outcome == outcome.NotRun && (!isOverload(last) || jo.pool.Quotes > 0 && last.Reason == outcome.Overloaded) {
 		return true // Its gate refused it: no upstream had to.
 	}
-	return in.budget(jo).Withdraw()
+	return in.payRepeat(jo)
 }
 
 // try sends one attempt. An idempotent one that lasts too long is given up for
@@ -78,27 +78,33 @@
 	done := make(chan wire.RunAnswer, 1)
 	go func() { done <- in.send(ctx, jo, cho) }()
 	if !jo.policy.Idempotent || jo.sent+1 >= jo.policy.RetryAttempts {
-		return in.ended(jo, <-done)
+		return in.ended(jo, cho, <-done)
 	}
 	patience := time.NewTimer(patienceFactor * jo.policy.Target)
 	defer patience.Stop()
 	select {
 	case answer := <-done:
-		return in.ended(jo, answer)
+		return in.ended(jo, cho, answer)
 	case <-patience.C:
 	}
-	if in.hasOther(jo, cho) && (cho.trial || in.budget(jo).Withdraw()) {
+	if in.hasOther(jo, cho) && (cho.trial || in.hasRepeats(jo, 1) && in.payRepeat(jo)) {
 		jo.sent++
+		jo.arrived++
+		jo.afterTrial = cho.trial
 		return tried{answer: wire.Unknown(outcome.Deadline, "the upstream took too long"), paid: true}
 	}
-	return in.ended(jo, <-done)
+	return in.ended(jo, cho, <-done)
 }
 
 // ended counts an attempt that may have reached an upstream.
-func (in *Ingress) ended(jo *job, answer wire.RunAnswer) tried {
+func (in *Ingress) ended(jo *job, cho choice, answer wire.RunAnswer) tried {
 	if answer.Outcome != outcome.NotRun {
 		jo.sent++
 	}
+	if answer.Outcome != outcome.NotRun || answer.Reason == outcome.Shed {
+		jo.arrived++
+		jo.afterTrial = cho.trial
+	}
 	return tried{answer: answer}
 }
 
@@ -113,7 +119,7 @@
 	req := jo.run
 	req.Attempt = newAttempt()
 	req.Upstream = cho.end.Upstream.ID
-	req.Trial, req.Forced = cho.trial, cho.forced
+	req.Trial, req.Forced, req.Repeat, req.AfterTrial = cho.trial, cho.forced, jo.arrived > 0 && jo.pool.Quotes > 0, jo.afterTrial
 	req.Remaining = jo.deadline.Sub(now) - answerMargin
 	req.Baseline = in.tracker.baseline(now, in.siblings(jo.path.Service, cho.end.Key), req.Kind)
 	if req.Remaining <= 0 {
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -120,7 +120,7 @@
 // mayTry says whether a request may try a doubtful endpoint: it may be repeated,
 // and the budget has a repeat for it.
 func (in *Ingress) mayTry(jo *job) bool {
-	return jo.policy.Idempotent && jo.sent == 0 && jo.policy.RetryAttempts >= 2 && in.budget(jo).Left() >= trialReserve
+	return jo.policy.Idempotent && jo.sent == 0 && jo.policy.RetryAttempts >= 2 && in.hasRepeats(jo, trialReserve)
 }
 
 func (in *Ingress) candidates(now time.Time, jo *job, ends []fleet.Endpoint) []pick.Candidate {
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -98,13 +98,17 @@
 	pool     *settings.Policy
 	run      wire.RunRequest
 	deadline time.Time
-	arrived  time.Time
+	began    time.Time
 	key      string
 	// keyed says that the caller chose the key, and so may send it again.
 	keyed    bool
 	attempts int
-	// sent counts the attempts that may have reached an upstream.
-	sent int
+	// sent counts the attempts that may have run at an upstream, and arrived those
+	// that reached one, also if it refused them.
+	sent    int
+	arrived int
+	// afterTrial says that the last of these was a trial.
+	afterTrial bool
 	// tried are the endpoints that attempts went to, for the log.
 	tried []string
 }
@@ -173,7 +177,7 @@
 
 // newJob reads a request, and refuses what can't be run.
 func (in *Ingress) newJob(wr http.ResponseWriter, req *http.Request, now time.Time) (*job, *wire.RunAnswer) {
-	jo := &job{arrived: now}
+	jo := &job{began: now}
 	if in.opts.Dialect.Key != "" {
 		jo.key = req.Header.Get(in.opts.Dialect.Key)
 	}
@@ -270,6 +274,25 @@
 	return bud.(*budget.Budget)
 }
 
+// hasRepeats says whether the retry budget has a number of repeats for a request,
+// as far as this daemon knows. Where gates quote they keep the budget, and their
+// last word on it is some seconds old at most.
+func (in *Ingress) hasRepeats(jo *job, count int) bool {
+	if jo.pool.Quotes == 0 {
+		return in.budget(jo).Left() >= float64(count)
+	}
+	pool := in.opts.View().Pools[jo.path.Service]
+	if pool == nil {
+		return false
+	}
+	return in.tracker.repeats(in.opts.Clock.Now(), pool) >= count
+}
+
+// payRepeat takes a repeat out of the budget that this daemon keeps itself.
+func (in *Ingress) payRepeat(jo *job) bool {
+	return jo.pool.Quotes > 0 || in.budget(jo).Withdraw()
+}
+
 // deposit adds what a request brings to the budget of its service, and this
 // daemon's part of the service's slack.
 func (in *Ingress) deposit(jo *job) {
--- a/cactusd/internal/ingress/once.go
+++ b/cactusd/internal/ingress/once.go
@@ -50,7 +50,7 @@
 
 // runClaimed runs the request of a key that this attempt holds.
 func (in *Ingress) runClaimed(ctx context.Context, jo *job, grant claim.Grant) wire.RunAnswer {
-	if in.opts.Clock.Now().Sub(jo.arrived) > claimBound {
+	if in.opts.Clock.Now().Sub(jo.began) > claimBound {
 		return in.release(jo, grant, wire.NotRun(outcome.ClaimFailed, "the claim took too long"))
 	}
 	if jo.keyed {
@@ -78,8 +78,9 @@
 		if !ok {
 			return sea.last
 		}
-		sea.last = in.try(ctx, jo, cho).answer
-		if sea.last.Outcome != outcome.NotRun || !in.mayRepeat(jo, cho, sea.last) {
+		answer := in.try(ctx, jo, cho).answer
+		sea.note(answer)
+		if answer.Outcome != outcome.NotRun || !in.mayRepeat(jo, cho, answer) {
 			return sea.last
 		}
 	}
--- a/cactusd/internal/ingress/search.go
+++ b/cactusd/internal/ingress/search.go
@@ -19,6 +19,9 @@
 	// maxTries bounds the endpoints that a request is sent to and that refuse it
 	// with proof.
 	maxTries = 16
+	// maxUnpaid is how many gates without a repeat end a request that needs one: the
+	// budget of its service is used up.
+	maxUnpaid = 4
 	// quoteRounds is how often a request that can't end in time at any endpoint
 	// that was asked asks others.
 	quoteRounds = 2
@@ -36,7 +39,9 @@
 	until time.Time
 	// lateRounds counts the rounds of quotes none of which was in time.
 	lateRounds int
-	last       wire.RunAnswer
+	// unpaid counts the gates that had no repeat for the request.
+	unpaid int
+	last   wire.RunAnswer
 }
 
 func (in *Ingress) newSearch(jo *job) *search {
@@ -53,6 +58,9 @@
 // has. It gives up at once when the request can't end in time.
 func (se *search) next(ctx context.Context) (choice, bool) {
 	for ctx.Err() == nil && se.jo.sent < se.jo.policy.RetryAttempts && se.jo.attempts < maxTries {
+		if se.unpaid >= maxUnpaid {
+			return choice{}, false
+		}
 		if se.in.withdrawn.Load() {
 			if se.last.Outcome == outcome.NotRun {
 				se.last = wire.NotRun(outcome.Stopping, "the daemon stops")
@@ -77,6 +85,16 @@
 	return choice{}, false
 }
 
+// note takes the answer of an attempt. A gate without a repeat says nothing of how
+// the request ended before.
+func (se *search) note(answer wire.RunAnswer) {
+	if answer.Reason == outcome.NoRepeats {
+		se.unpaid++
+		return
+	}
+	se.last = answer
+}
+
 // choose returns an endpoint by quotes where the service asks for them.
 func (se *search) choose(ctx context.Context, isLate bool) (choice, bool) {
 	in, jo := se.in, se.jo
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/health"
 )
 
@@ -22,9 +23,13 @@
 	goneLife = time.Second
 	// doubtLife is how long a gate's word on doubt counts here; the next quote
 	// renews it.
-	doubtLife    = 200 * time.Millisecond
-	minPathPause = 500 * time.Millisecond
-	maxPathPause = 8 * time.Second
+	doubtLife = 200 * time.Millisecond
+	// repeatsLife is how long a gate's word on its retry budget counts here, and
+	// unknownRepeats stands for it where none was heard.
+	repeatsLife    = 2 * time.Second
+	unknownRepeats = 2
+	minPathPause   = 500 * time.Millisecond
+	maxPathPause   = 8 * time.Second
 )
 
 // tracker is what an ingress knows first-hand of endpoints and of the paths to
@@ -48,7 +53,9 @@
 	doubtful bool
 	trialAt  time.Time
 	goneAt   time.Time
-	stats    map[string]carriedStats
+	// repeats is what the gate's retry budget had left.
+	repeats int
+	stats   map[string]carriedStats
 }
 
 func (en *endpointTrack) noteLoad(now time.Time, load wire.Load) {
@@ -56,6 +63,7 @@
 	en.at = now
 	en.doubtful = load.Doubtful
 	en.trialAt = now.Add(load.TrialIn)
+	en.repeats = load.Repeats
 }
 
 type carriedStats struct {
@@ -187,6 +195,26 @@
 	return (told || knows) && !now.Before(end.trialAt)
 }
 
+// repeats returns the most repeats that a gate of a pool had left when it was last
+// heard, of those whose upstream takes work. Before any was heard the budget is
+// taken to be whole.
+func (tr *tracker) repeats(now time.Time, pool *fleet.Pool) int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	most, known := 0, false
+	for _, end := range pool.Endpoints {
+		track := tr.ends[end.Key]
+		if track == nil || track.doubtful || now.Sub(track.at) > repeatsLife {
+			continue
+		}
+		most, known = max(most, track.repeats), true
+	}
+	if !known {
+		return unknownRepeats
+	}
+	return most
+}
+
 // isPathGood says whether a daemon could be reached lately.
 func (tr *tracker) isPathGood(now time.Time, daemon string) bool {
 	tr.mu.Lock()
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -34,6 +34,8 @@
 	Kind       string `codec:"k"`
 	Rank       int    `codec:"r,omitempty"`
 	Idempotent bool   `codec:"i,omitempty"`
+	Repeat     bool   `codec:"e,omitempty"`
+	AfterTrial bool   `codec:"g,omitempty"`
 }
 
 // QuoteAnswer is the wait for a slot and the usual time of the work itself.
@@ -62,13 +64,18 @@
 	// upstream is well again.
 	Trial bool `codec:"y"`
 	// Forced says that no better upstream is left, so that a doubtful one must do.
-	Forced    bool   `codec:"z,omitempty"`
-	Method    string `codec:"m"`
-	Host      string `codec:"o,omitempty"`
-	URI       string `codec:"p"`
-	Header    Header `codec:"h"`
-	Body      []byte `codec:"b"`
-	BodyLimit int    `codec:"l"`
+	Forced bool `codec:"z,omitempty"`
+	// Repeat says that an earlier attempt of the request reached an upstream.
+	Repeat bool `codec:"j,omitempty"`
+	// AfterTrial says that it was a trial that failed, for whose repeat a part of
+	// the retry budget is kept.
+	AfterTrial bool   `codec:"g,omitempty"`
+	Method     string `codec:"m"`
+	Host       string `codec:"o,omitempty"`
+	URI        string `codec:"p"`
+	Header     Header `codec:"h"`
+	Body       []byte `codec:"b"`
+	BodyLimit  int    `codec:"l"`
 	// Remaining and Target are durations, so that clocks need not agree.
 	Remaining time.Duration   `codec:"d"`
 	Target    time.Duration   `codec:"t"`
@@ -82,6 +89,8 @@
 	// Doubtful says that the upstream gets only trials, the next one in TrialIn.
 	Doubtful bool          `codec:"d,omitempty"`
 	TrialIn  time.Duration `codec:"t,omitempty"`
+	// Repeats is how many repeats the retry budget leaves for the upstream now.
+	Repeats int `codec:"b,omitempty"`
 }
 
 // Stats is how an upstream does one kind of work.
--- /dev/null
+++ b/core/budget/ledger_test.go
@@ -0,0 +1,176 @@
+package budget_test
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cactusstream.example/core/budget"
+)
+
+// arrival is one attempt that reached an upstream.
+type arrival struct {
+	at     time.Time
+	repeat bool
+}
+
+// naiveLeft counts all arrivals of the last window.
+func naiveLeft(arrivals []arrival, now time.Time, policy budget.Policy, peers int) int {
+	firsts, repeats := 0, 0
+	for _, arr := range arrivals {
+		if now.Sub(arr.at) >= policy.Window {
+			continue
+		}
+		if arr.repeat {
+			repeats++
+		} else {
+			firsts++
+		}
+	}
+	return int(float64(policy.Percent*firsts)/100+policy.Slack/float64(peers)) - repeats
+}
+
+// TestLedgerGivesNoMoreThanTheNaiveCount draws arrivals: whatever the Ledger
+// gives, a count of every arrival would give too.
+func TestLedgerGivesNoMoreThanTheNaiveCount(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		policy := budget.Policy{Window: 10 * time.Second, Percent: 20, Slack: float64(rapid.IntRange(0, 20).Draw(rt, "slack"))}
+		led := &budget.Ledger{}
+		now := time.Unix(1000, 0)
+		var arrivals []arrival
+		for range rapid.IntRange(0, 200).Draw(rt, "count") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "repeat") {
+				if !led.Take(now, policy, 3, 0) {
+					continue
+				}
+				if naiveLeft(arrivals, now, policy, 3) < 1 {
+					rt.Fatalf("a repeat at %v is over the budget", now)
+				}
+				arrivals = append(arrivals, arrival{now, true})
+				continue
+			}
+			led.First(now, policy)
+			arrivals = append(arrivals, arrival{now, false})
+		}
+	})
+}
+
+func TestLedgerForgetsAfterItsWindow(t *testing.T) {
+	is := is.New(t)
+	policy := budget.Policy{Window: 10 * time.Second, Slack: 2}
+	led := &budget.Ledger{}
+	now := time.Unix(1000, 0)
+	is.True(led.Take(now, policy, 1, 0))
+	is.True(led.Take(now, policy, 1, 0))
+	is.True(!led.Take(now.Add(9*time.Second), policy, 1, 0))
+	is.Equal(led.Left(now.Add(11*time.Second), policy, 1), 2)
+	is.True(led.Take(now.Add(11*time.Second), policy, 1, 0))
+	led.GiveBack(now.Add(11*time.Second), policy)
+	is.Equal(led.Left(now.Add(12*time.Second), policy, 1), 2)
+}
+
+// TestLedgerKeepsItsPartWhilePeersComeBack cuts a fleet in two and joins it: a
+// part that was worked out with few peers must not be spent on top of others.
+func TestLedgerKeepsItsPartWhilePeersComeBack(t *testing.T) {
+	is := is.New(t)
+	policy := budget.Policy{Window: 10 * time.Second, Slack: 12}
+	led := &budget.Ledger{}
+	now := time.Unix(1000, 0)
+	is.Equal(led.Left(now, policy, 6), 2)
+	is.Equal(led.Left(now.Add(time.Second), policy, 3), 2) // The others were seen within the window.
+	is.Equal(led.Left(now.Add(20*time.Second), policy, 3), 4)
+}
+
+// boutLoad is testdata/bouts.json: upstreams that fail for a while, and work that
+// may be repeated from many daemons.
+type boutLoad struct {
+	Upstreams     int     `json:"upstreams"`
+	Daemons       int     `json:"daemons"`
+	PerSecond     float64 `json:"perSecond"`
+	Seconds       float64 `json:"seconds"`
+	FailPercent   int     `json:"failPercent"`
+	RatioPercent  int     `json:"ratioPercent"`
+	Slack         float64 `json:"slack"`
+	WindowSeconds float64 `json:"windowSeconds"`
+}
+
+// replayBouts sends requests of which a share fails at first, and returns the
+// share that was repeated and the most repeats over the budget in any window.
+func replayBouts(loa boutLoad, repeat func(now time.Time, daemon, upstream int) bool, first func(now time.Time, daemon, upstream int)) (repeated float64, over float64) {
+	rng := rand.New(rand.NewPCG(7, 11))
+	window := time.Duration(loa.WindowSeconds * float64(time.Second))
+	now, end := time.Unix(1000, 0), time.Unix(1000, 0).Add(time.Duration(loa.Seconds*float64(time.Second)))
+	var arrivals []arrival
+	failed, saved := 0, 0
+	for now.Before(end) {
+		now = now.Add(time.Duration(rng.ExpFloat64() / loa.PerSecond * float64(time.Second)))
+		daemon, upstream := rng.IntN(loa.Daemons), rng.IntN(loa.Upstreams)
+		first(now, daemon, upstream)
+		arrivals = append(arrivals, arrival{now, false})
+		if rng.IntN(100) >= loa.FailPercent {
+			continue
+		}
+		failed++
+		if repeat(now, daemon, (upstream+1)%loa.Upstreams) {
+			saved++
+			arrivals = append(arrivals, arrival{now, true})
+		}
+		policy := budget.Policy{Window: window, Percent: loa.RatioPercent, Slack: loa.Slack}
+		over = max(over, -float64(naiveLeft(arrivals, now, policy, 1)))
+	}
+	return float64(saved) / float64(failed), over
+}
+
+// TestRepeatsDuringBouts replays testdata/bouts.json with budgets that daemons
+// keep each for themselves and with ledgers at the upstreams.
+func TestRepeatsDuringBouts(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("testdata/bouts.json")
+	is.NoErr(err)
+	var loads map[string]boutLoad
+	is.NoErr(json.Unmarshal(data, &loads))
+	for name, loa := range loads {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			buckets := make([]budget.Budget, loa.Daemons)
+			perMinute := loa.Slack * 60 / loa.WindowSeconds / float64(loa.Daemons)
+			naive, naiveOver := replayBouts(loa,
+				func(_ time.Time, daemon, _ int) bool { return buckets[daemon].Withdraw() },
+				func(now time.Time, daemon, _ int) {
+					buckets[daemon].Deposit(loa.RatioPercent)
+					buckets[daemon].DepositTime(now, perMinute)
+				})
+			policy := budget.Policy{Window: time.Duration(loa.WindowSeconds * float64(time.Second)), Percent: loa.RatioPercent, Slack: loa.Slack}
+			ledgers := make([]budget.Ledger, loa.Upstreams)
+			ours, oursOver := replayBouts(loa,
+				func(now time.Time, _, upstream int) bool {
+					return ledgers[upstream].Take(now, policy, loa.Upstreams, 0)
+				},
+				func(now time.Time, _, upstream int) { ledgers[upstream].First(now, policy) })
+			t.Logf("failed work that was repeated: ledgers %.3f, budgets of daemons %.3f; over the budget in the worst window: %.0f and %.0f", ours, naive, oursOver, naiveOver)
+			is.True(ours >= naive)
+			is.Equal(oursOver, 0.0)
+		})
+	}
+}
+
+// TestReserveIsLeftForTrials is the pattern of upstreams that all refuse a part of
+// their work: what was refused must not use up the repeats of trials, or the end
+// of a bout is found out by nobody.
+func TestReserveIsLeftForTrials(t *testing.T) {
+	is := is.New(t)
+	policy := budget.Policy{Window: 10 * time.Second, Slack: 6}
+	led := &budget.Ledger{}
+	now := time.Unix(1000, 0)
+	for range 4 {
+		is.True(led.Take(now, policy, 1, 2))
+	}
+	is.True(!led.Take(now, policy, 1, 2))
+	is.True(led.Take(now, policy, 1, 0)) // After a trial.
+}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -47,6 +47,7 @@
 	KeyClosed      Reason = "keyClosed"
 	KeyTooOld      Reason = "keyTooOld"
 	LinkLost       Reason = "linkLost"
+	NoRepeats      Reason = "noRepeats"
 	NoRoute        Reason = "noRoute"
 	NoSettings     Reason = "noSettings"
 	NoUpstream     Reason = "noUpstream"
@@ -76,7 +77,7 @@
 		return http.StatusTooManyRequests
 	case LinkLost, UpstreamFailed:
 		return http.StatusBadGateway
-	case ClaimFailed, Doubtful, NoSettings, NoUpstream, Stopping:
+	case ClaimFailed, Doubtful, NoRepeats, NoSettings, NoUpstream, Stopping:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusInternalServerError
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -41,6 +41,7 @@
 	RetryAttempts    int
 	RetryPercent     int
 	RetrySlack       int
+	RetryWindow      time.Duration
 	QueueLimit       int
 	Quotes           int
 	ZoneCost         time.Duration
