feat: work that can meet its target goes first, and waits count more urgent demand

Ruled out: idle slots beside waiting work (34.9 of 35 were busy). Change: within a rank the queue serves what can still meet its target first; waits are worked out from the time of each rank's work and the demand of more urgent ranks. Gates and quotes are told what is left of the target.

--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -231,7 +231,7 @@
 func (gu *guard) admit(ctx context.Context, req wire.RunRequest) (wire.RunAnswer, bool) {
 	decided := make(chan rankqueue.Decision, 1)
 	now := gu.opts.Clock.Now()
-	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Forced: req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
+	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Target: targetOf(now, req.TargetIn), Forced: req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
 	refusal, refused := gu.refusal(now, req)
 	if !refused && req.Repeat && !gu.ledger.Take(now, gu.budgetPolicy(), gu.peers(), reserveOf(req.AfterTrial)) {
@@ -329,6 +329,14 @@
 	return answer
 }
 
+// targetOf returns when a request's target passes; 0 left stands for no target.
+func targetOf(now time.Time, left time.Duration) time.Time {
+	if left == 0 {
+		return time.Time{}
+	}
+	return now.Add(left)
+}
+
 // need returns how long a kind of work must be expected to take here; the
 // caller holds the lock.
 func (gu *guard) need(kind string) time.Duration {
@@ -349,7 +357,7 @@
 	if sent.failed || sent.shed || sent.abandoned {
 		held = 0
 	}
-	gu.queue.Done(now, held)
+	gu.queue.Done(now, req.Rank, held)
 	if !sent.shed && !sent.abandoned {
 		gu.judge.ObserveEnd(now, req.Baseline, res)
 		if !res.Failed {
--- a/cactusd/internal/gate/quote.go
+++ b/cactusd/internal/gate/quote.go
@@ -20,7 +20,9 @@
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	now := gu.opts.Clock.Now()
-	ans := wire.QuoteAnswer{Wait: gu.queue.Wait(req.Rank), Need: gu.need(req.Kind), Load: gu.load(now)}
+	need := gu.need(req.Kind)
+	item := &rankqueue.Item{Rank: req.Rank, Target: targetOf(now, req.TargetIn), Need: need}
+	ans := wire.QuoteAnswer{Wait: gu.queue.Wait(now, item), Need: need, Load: gu.load(now)}
 	switch {
 	case gu.leaving:
 		ans.Refused = outcome.Stopping
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -120,7 +120,7 @@
 	req.Attempt = newAttempt()
 	req.Upstream = cho.end.Upstream.ID
 	req.Trial, req.Forced, req.Repeat, req.AfterTrial = cho.trial, cho.forced, jo.arrived > 0 && jo.pool.Quotes > 0, jo.afterTrial
-	req.Remaining = jo.deadline.Sub(now) - answerMargin
+	req.Remaining, req.TargetIn = jo.deadline.Sub(now)-answerMargin, jo.targetIn(now)
 	req.Baseline = in.tracker.baseline(now, in.siblings(jo.path.Service, cho.end.Key), req.Kind)
 	if req.Remaining <= 0 {
 		return wire.NotRun(outcome.Deadline, "the deadline has passed")
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -113,6 +113,11 @@
 	tried []string
 }
 
+// targetIn returns what is left of the target of the request's kind.
+func (jo *job) targetIn(now time.Time) time.Duration {
+	return jo.began.Add(jo.policy.Target).Sub(now)
+}
+
 // startPatience is how long a request waits for a daemon that has just started
 // to know the settings and the fleet.
 const startPatience = time.Second
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -34,8 +34,10 @@
 	Kind       string `codec:"k"`
 	Rank       int    `codec:"r,omitempty"`
 	Idempotent bool   `codec:"i,omitempty"`
-	Repeat     bool   `codec:"e,omitempty"`
-	AfterTrial bool   `codec:"g,omitempty"`
+	// TargetIn is what is left of the target of its kind.
+	TargetIn   time.Duration `codec:"c,omitempty"`
+	Repeat     bool          `codec:"e,omitempty"`
+	AfterTrial bool          `codec:"g,omitempty"`
 }
 
 // QuoteAnswer is the wait for a slot and the usual time of the work itself.
@@ -76,8 +78,10 @@
 	Header     Header `codec:"h"`
 	Body       []byte `codec:"b"`
 	BodyLimit  int    `codec:"l"`
-	// Remaining and Target are durations, so that clocks need not agree.
+	// Remaining, TargetIn and Target are durations, so that clocks need not agree.
+	// Target is that of the kind, and TargetIn what is left of it.
 	Remaining time.Duration   `codec:"d"`
+	TargetIn  time.Duration   `codec:"c,omitempty"`
 	Target    time.Duration   `codec:"t"`
 	Baseline  health.Baseline `codec:"e"`
 }
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -5,13 +5,20 @@
 // whole credit goes before more urgent ones. Within a rank the firms take
 // turns. Work whose deadline can't be met is refused at once.
 //
+// The load patterns that it answers: a flood of one rank, which must neither hold
+// up more urgent work nor take the shares of the others; and work in excess of the
+// slots for longer than a target lasts, where a queue in order of arrival makes
+// every answer late. Work that can still meet its target goes first, and other
+// work of its rank gets the slots that are left.
+//
 // Usage, under the caller's lock:
 //
 //	dec := que.Add(now, item)       // run, wait or refuse
-//	for _, started := range que.Done(now, took) { ... }
+//	que.Done(now, item.Rank, took)  // gives its slot to what waits
 package rankqueue
 
 import (
+	"slices"
 	"time"
 )
 
@@ -44,6 +51,9 @@
 	Rank     int
 	Firm     string
 	Deadline time.Time
+	// Target is when its answer is due; the zero time is never. Later answers are
+	// worth less to the caller.
+	Target time.Time
 	// Need is how long the work usually takes; less than that before its deadline
 	// it is refused, as its slot would be lost. 0 means that it is not known.
 	Need time.Duration
@@ -71,15 +81,16 @@
 	waiting int
 	firms   map[string][]*Item
 	turns   []string
+	// late are the waiting items that can't meet their target any more.
+	late []*Item
+	// service is the moving average of the rank's own work; 0 is unknown.
+	service time.Duration
+	// all and onTime are the slots that its admitted work asks for.
+	all    demand
+	onTime demand
 }
 
-const (
-	maxCredit     = 4
-	serviceWeight = 0.1
-	// usualService stands for the time that a slot is held until some work has
-	// ended: about what the kinds of both deployments take.
-	usualService = 300 * time.Millisecond
-)
+const maxCredit = 4
 
 // New returns a Queue of an upstream with a number of slots.
 func New(slots int, policy Policy) *Queue {
@@ -97,43 +108,46 @@
 	}
 	if qu.running < qu.slots && qu.waiting == 0 {
 		qu.running++
+		qu.note(now, item, true)
 		return Run
 	}
-	if now.Add(qu.wait(item.Rank, qu.service) + item.Need).After(item.Deadline) {
+	wait, isOnTime := qu.estimate(now, item, qu.service)
+	if now.Add(wait + item.Need).After(item.Deadline) {
 		return RefuseDeadline
 	}
 	if qu.waiting >= qu.policy.Limit && !qu.makeRoom(item.Rank) {
 		return RefuseFull
 	}
-	qu.push(item)
+	qu.note(now, item, isOnTime)
+	qu.push(item, isOnTime)
 	return Wait
 }
 
 // Cancel takes back an item that waits; it returns false when it does not.
 func (qu *Queue) Cancel(item *Item) bool {
 	rank := &qu.ranks[item.Rank]
-	for i, other := range rank.firms[item.Firm] {
-		if other == item {
-			qu.removeAt(item.Rank, item.Firm, i)
-			return true
-		}
+	if at := slices.Index(rank.firms[item.Firm], item); at >= 0 {
+		qu.removeAt(item.Rank, item.Firm, at)
+		return true
+	}
+	if at := slices.Index(rank.late, item); at >= 0 {
+		qu.removeLate(item.Rank, at)
+		return true
 	}
 	return false
 }
 
-// Done gives back a slot, and starts waiting items. The time that it was held
-// counts for the estimate of waits unless it is 0, as for work that failed.
-func (qu *Queue) Done(now time.Time, held time.Duration) {
+// Done gives back a slot that work of a rank had, and starts waiting items. The
+// time that it was held counts for the estimate of waits unless it is 0, as for
+// work that failed.
+func (qu *Queue) Done(now time.Time, rank int, held time.Duration) {
 	qu.running--
-	switch {
-	case held <= 0:
-	case qu.service == 0:
-		qu.service = held
-	default:
-		qu.service += time.Duration(serviceWeight * float64(held-qu.service))
+	if held > 0 {
+		average(&qu.service, held)
+		average(&qu.ranks[rank].service, held)
 	}
 	for qu.running < qu.slots && qu.waiting > 0 {
-		item := qu.pop()
+		item := qu.pop(now)
 		if !item.Deadline.After(now.Add(item.Need)) {
 			item.Decided(RefuseDeadline)
 			continue
@@ -156,14 +170,18 @@
 				}
 			}
 		}
+		for at := len(qu.ranks[rank].late) - 1; at >= 0; at-- {
+			if item := qu.ranks[rank].late[at]; matches(item) {
+				qu.removeLate(rank, at)
+				item.Decided(dec)
+			}
+		}
 	}
 }
 
 // RefuseAll refuses everything that waits, as when the upstream leaves.
 func (qu *Queue) RefuseAll(dec Decision) {
-	for qu.waiting > 0 {
-		qu.pop().Decided(dec)
-	}
+	qu.RefuseIf(dec, func(*Item) bool { return true })
 }
 
 // Running returns the slots in use.
@@ -172,16 +190,6 @@
 // SetPolicy changes the limits from now on.
 func (qu *Queue) SetPolicy(policy Policy) { qu.policy = policy }
 
-// Wait estimates how long an item of a rank would wait for a slot. Until some
-// work has ended it goes by what is usual: enough to choose another queue by,
-// and not to refuse anybody.
-func (qu *Queue) Wait(rank int) time.Duration {
-	if qu.service == 0 {
-		return qu.wait(rank, usualService)
-	}
-	return qu.wait(rank, qu.service)
-}
-
 // Waiting returns the items that wait, by rank.
 func (qu *Queue) Waiting() [RankCount]int {
 	var counts [RankCount]int
@@ -191,24 +199,6 @@
 	return counts
 }
 
-// wait estimates the wait of a rank when a slot is held for a time on average:
-// until those ahead have one, or, if that is sooner, until the rank's share
-// brings it one.
-func (qu *Queue) wait(rank int, service time.Duration) time.Duration {
-	if qu.running < qu.slots && qu.waiting == 0 {
-		return 0
-	}
-	ahead := 0
-	for i := 0; i <= rank; i++ {
-		ahead += qu.ranks[i].waiting
-	}
-	rounds := float64(ahead) / float64(max(qu.slots, 1))
-	if share := float64(qu.policy.Share[rank]*qu.slots) / 100; share > 0 {
-		rounds = min(rounds, float64(qu.ranks[rank].waiting+1)/share)
-	}
-	return time.Duration(rounds * float64(service))
-}
-
 // makeRoom refuses a waiting item of the rank that is furthest above its share
 // of the queue. A rank that holds less than its share always gets room; one
 // that holds more gets it only from less urgent ranks.
@@ -233,40 +223,60 @@
 	return qu.policy.Limit * qu.policy.Share[rank] / 100
 }
 
-// refuseNewest refuses the newest item of the firm that has most of a rank.
+// refuseNewest refuses an item of a rank: the newest that is late, or the newest
+// of the firm that has most.
 func (qu *Queue) refuseNewest(rank int) {
+	state := &qu.ranks[rank]
+	if at := len(state.late) - 1; at >= 0 {
+		item := state.late[at]
+		qu.removeLate(rank, at)
+		item.Decided(RefuseFull)
+		return
+	}
 	longest := ""
-	for _, firm := range qu.ranks[rank].turns {
-		if longest == "" || len(qu.ranks[rank].firms[firm]) > len(qu.ranks[rank].firms[longest]) {
+	for _, firm := range state.turns {
+		if longest == "" || len(state.firms[firm]) > len(state.firms[longest]) {
 			longest = firm
 		}
 	}
-	items := qu.ranks[rank].firms[longest]
+	items := state.firms[longest]
 	item := items[len(items)-1]
 	qu.removeAt(rank, longest, len(items)-1)
 	item.Decided(RefuseFull)
 }
 
-func (qu *Queue) push(item *Item) {
+func (qu *Queue) push(item *Item, isOnTime bool) {
 	rank := &qu.ranks[item.Rank]
+	rank.waiting++
+	qu.waiting++
+	if !isOnTime {
+		rank.late = append(rank.late, item)
+		return
+	}
 	if len(rank.firms[item.Firm]) == 0 {
 		rank.turns = append(rank.turns, item.Firm)
 	}
 	rank.firms[item.Firm] = append(rank.firms[item.Firm], item)
-	rank.waiting++
-	qu.waiting++
 }
 
-func (qu *Queue) pop() *Item {
+func (qu *Queue) pop(now time.Time) *Item {
 	rank := qu.nextRank()
 	qu.earn(rank)
 	state := &qu.ranks[rank]
-	firm := state.turns[0]
-	item := state.firms[firm][0]
-	qu.removeAt(rank, firm, 0)
-	if len(state.turns) > 0 && state.turns[0] == firm {
-		state.turns = append(state.turns[1:], firm)
+	for len(state.turns) > 0 {
+		firm := state.turns[0]
+		item := state.firms[firm][0]
+		qu.removeAt(rank, firm, 0)
+		if len(state.turns) > 0 && state.turns[0] == firm {
+			state.turns = append(state.turns[1:], firm)
+		}
+		if !item.isLate(now) {
+			return item
+		}
+		qu.push(item, false)
 	}
+	item := state.late[0]
+	qu.removeLate(rank, 0)
 	return item
 }
 
@@ -301,6 +311,13 @@
 	qu.ranks[served].credit = max(0, qu.ranks[served].credit-1)
 }
 
+func (qu *Queue) removeLate(rank, at int) {
+	state := &qu.ranks[rank]
+	state.late = slices.Delete(state.late, at, at+1)
+	state.waiting--
+	qu.waiting--
+}
+
 func (qu *Queue) removeAt(rank int, firm string, at int) {
 	state := &qu.ranks[rank]
 	items := state.firms[firm]
--- a/core/rankqueue/rankqueue_test.go
+++ b/core/rankqueue/rankqueue_test.go
@@ -68,9 +68,9 @@
 			ended = append(ended, re)
 			return true
 		})
-		for range ended {
+		for _, re := range ended {
 			if naive == nil {
-				que.Done(now, service)
+				que.Done(now, re.rank, service)
 				continue
 			}
 			for len(running) < slots && len(waiting) > 0 {
@@ -189,8 +189,8 @@
 		add("loud")
 	}
 	add("quiet")
-	que.Done(now, service)
-	que.Done(now, service)
+	que.Done(now, 0, service)
+	que.Done(now, 0, service)
 	is.Equal(ran, []string{"loud", "quiet"})
 }
 
@@ -222,7 +222,7 @@
 			case 2:
 				if running > 0 {
 					running--
-					que.Done(now, time.Millisecond)
+					que.Done(now, 0, time.Millisecond)
 				}
 			}
 			if running > 3 || running != que.Running() {
@@ -257,7 +257,7 @@
 		at++
 		que.Add(now, &rankqueue.Item{Rank: at % 4, Firm: firms[at%len(firms)], Deadline: now.Add(time.Hour), Decided: func(rankqueue.Decision) {}})
 		if at%2 == 0 && que.Running() > 0 {
-			que.Done(now, service)
+			que.Done(now, 0, service)
 		}
 	}
 }
--- a/core/rankqueue/refuse_test.go
+++ b/core/rankqueue/refuse_test.go
@@ -18,7 +18,7 @@
 	var decided rankqueue.Decision
 	late := &rankqueue.Item{Deadline: now.Add(time.Second), Need: time.Second / 2, Decided: func(dec rankqueue.Decision) { decided = dec }}
 	is.Equal(que.Add(now, late), rankqueue.Wait)
-	que.Done(now.Add(700*time.Millisecond), 700*time.Millisecond) // Too late for work of half a second.
+	que.Done(now.Add(700*time.Millisecond), 0, 700*time.Millisecond) // Too late for work of half a second.
 	is.Equal(decided, rankqueue.RefuseDeadline)
 	is.Equal(que.Running(), 0)
 }
@@ -30,16 +30,16 @@
 		que := rankqueue.New(1, rankqueue.Policy{Limit: 10})
 		for range 50 {
 			que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour)})
-			que.Done(now, time.Second)
+			que.Done(now, 0, time.Second)
 		}
 		for range failures {
 			que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour)})
-			que.Done(now, 0)
+			que.Done(now, 0, 0)
 		}
 		for range 3 {
 			que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour), Decided: func(rankqueue.Decision) {}})
 		}
-		return que.Wait(0)
+		return que.Wait(now, &rankqueue.Item{})
 	}
 	is.Equal(wait(100), wait(0))
 	is.True(wait(0) > time.Second)
@@ -60,7 +60,7 @@
 	add("d", "f", 1, true)
 	que.RefuseIf(rankqueue.RefuseDoubtful, func(item *rankqueue.Item) bool { return item.Forced })
 	is.Equal(decisions, map[string]rankqueue.Decision{"a": rankqueue.RefuseDoubtful, "c": rankqueue.RefuseDoubtful, "d": rankqueue.RefuseDoubtful})
-	que.Done(now, time.Millisecond)
+	que.Done(now, 0, time.Millisecond)
 	is.Equal(decisions["b"], rankqueue.Run)
 }
 
@@ -71,9 +71,9 @@
 	for range 22 {
 		que.Add(now, &rankqueue.Item{Deadline: now.Add(time.Hour), Decided: func(rankqueue.Decision) {}})
 	}
-	is.True(que.Wait(0) > time.Second) // Twenty wait for two slots of a daemon that has just started.
-	que.Done(now, time.Minute)
-	is.True(que.Wait(0) > 5*time.Minute) // The first work that ended tells more than what is usual.
+	is.True(que.Wait(now, &rankqueue.Item{}) > time.Second) // Twenty wait for two slots of a daemon that has just started.
+	que.Done(now, 0, time.Minute)
+	is.True(que.Wait(now, &rankqueue.Item{}) > 5*time.Minute) // The first work that ended tells more than what is usual.
 }
 
 // TestFloodOfUrgentWorkDoesNotCloseAQueueToItsShare is the pattern of a service
@@ -101,7 +101,7 @@
 			accepted++
 		}
 		if que.Running() == 5 {
-			que.Done(now, 500*time.Millisecond)
+			que.Done(now, 0, 500*time.Millisecond)
 		}
 	}
 	total := decided[1] + decided[2]
