--- a/cactusctl/internal/cmd/root.go
+++ b/cactusctl/internal/cmd/root.go
@@ -66,7 +66,7 @@
 	flags.StringVar(&ap.authority, "authority", os.Getenv("CACTUS_AUTHORITY"), "PEM file of the fleet's certificate authority, when it uses TLS")
 	flags.StringVar(&ap.output, "output", "table", "table or json")
 	flags.DurationVar(&ap.timeout, "timeout", 15*time.Second, "how long to try")
-	root.AddCommand(newClaimsCmd(ap), newDumpCmd(ap), newKeepersCmd(ap), newMetricsCmd(ap), newSettingsCmd(ap), newStatusCmd(ap), newUpstreamsCmd(ap))
+	root.AddCommand(newClaimsCmd(ap), newDumpCmd(ap), newExplainCmd(ap), newKeepersCmd(ap), newMetricsCmd(ap), newSettingsCmd(ap), newStatusCmd(ap), newUpstreamsCmd(ap))
 	return root
 }
 
--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -121,7 +121,7 @@
 			ID: opts.Config.ID, Zone: opts.Config.Zone, PeerAddress: opts.Config.PeerAddress,
 			OperatorAddress: opts.Config.OperatorAddress, Version: member.Version{Incarnation: uint64(da.started.UnixNano())},
 		},
-		Seeds: opts.Seeds, Tokens: opts.FleetTokens, Firm: opts.Firm, Place: opts.Place, SyncSeed: uint64(da.started.UnixNano()),
+		Listen: opts.Config.PeerListener(), Seeds: opts.Seeds, Tokens: opts.FleetTokens, Firm: opts.Firm, Place: opts.Place, SyncSeed: uint64(da.started.UnixNano()),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w", err)
@@ -150,7 +150,7 @@
 	})
 	link.HandleNotice(mux, wire.MethodWithdraw, func(_ string, wit wire.Withdrawal) { da.gate.Withdraw(wit) })
 	da.callers = process.NewServer(opts.CallerAddress, da.ingress, nil)
-	da.peers = process.NewServer(opts.Config.PeerAddress, da.links, opts.TLS.Server(true))
+	da.peers = process.NewServer(opts.Config.PeerListener(), da.links, opts.TLS.Server(true))
 	da.operators = process.NewServer(opts.Config.OperatorAddress, da.operatorsHandler(), opts.TLS.Server(false))
 	return da, nil
 }
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -440,6 +440,6 @@
 	return map[string]any{
 		"id": gu.ann.ID, "service": gu.ann.Service, "address": gu.ann.Address, "slots": gu.ann.Slots,
 		"state": rec.State.String(), "reason": rec.Reason, "running": gu.queue.Running(),
-		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.judge.ErrorRate(), "boutEstimate": gu.filter.Estimate(gu.opts.Clock.Now()), "reportedBusy": gu.reported,
+		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.judge.ErrorRate(), "boutEstimate": gu.filter.Estimate(gu.opts.Clock.Now()), "reportedBusy": gu.reported, "repeatsLeft": gu.ledger.Left(gu.opts.Clock.Now(), gu.budgetPolicy(), gu.peers()),
 	}
 }
--- a/cactusd/internal/ingress/search.go
+++ b/cactusd/internal/ingress/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -132,7 +133,7 @@
 // back: spread, so that callers that were refused together don't return together.
 func (se *search) refuse(wait time.Duration) {
 	left := se.jo.deadline.Sub(se.in.opts.Clock.Now())
-	se.last = wire.NotRun(outcome.Overloaded, "the work could not end before the deadline")
+	se.last = wire.NotRun(outcome.Overloaded, fmt.Sprintf("the work could not end before the deadline: the best quote was %d ms, of %d ms that are left", wait.Milliseconds(), left.Milliseconds()))
 	latest := max(min(time.Duration(returnShare*float64(left)), wait), 0)
 	se.last.RetryAfter = latest/2 + rand.N(latest/2+1)
 }
--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -109,7 +109,7 @@
 		}
 	}
 	se.links = link.NewServer(mux, opts.FleetTokens, se.refused)
-	se.peers = process.NewServer(opts.Config.PeerAddress, se.links, opts.TLS.Server(true))
+	se.peers = process.NewServer(opts.Config.PeerListener(), se.links, opts.TLS.Server(true))
 	se.operators = process.NewServer(opts.Config.OperatorAddress, se.operatorsHandler(), opts.TLS.Server(false))
 	return se, nil
 }
@@ -166,7 +166,7 @@
 			ID: cfg.ID, Zone: cfg.Zone, PeerAddress: cfg.PeerAddress, OperatorAddress: cfg.OperatorAddress, Keeper: true,
 			Version: member.Version{Incarnation: uint64(se.started.UnixNano())},
 		},
-		Seeds: se.opts.Group.Seeds, Tokens: se.opts.FleetTokens, SyncSeed: uint64(se.started.UnixNano()),
+		Listen: cfg.PeerListener(), Seeds: se.opts.Group.Seeds, Tokens: se.opts.FleetTokens, SyncSeed: uint64(se.started.UnixNano()),
 	})
 	if err != nil {
 		return fmt.Errorf("keeper: %w", err)
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -17,6 +17,10 @@
 	"github.com/sirupsen/logrus"
 )
 
+// timeFormat has milliseconds, so that the lines of several processes can be put
+// into order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Event is one kind of thing that a process logs.
 type Event struct {
 	Number  int
@@ -94,7 +98,7 @@
 	lr.SetLevel(lvl)
 	switch format {
 	case "json":
-		lr.SetFormatter(&logrus.JSONFormatter{})
+		lr.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	case "text":
 		lr.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	default:
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -16,6 +16,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -55,6 +56,8 @@
 	Mux     *link.Mux
 	Pool    *link.Pool
 	Self    member.Record
+	// Listen is the address of the socket; "" is the peer address of Self.
+	Listen string
 	// Seeds returns peer addresses where members of the fleet may be.
 	Seeds    func() []string
 	Tokens   *auth.Tokens
@@ -90,7 +93,7 @@
 
 // New opens the socket of a daemon that knows only itself.
 func New(opts Options) (*Fleet, error) {
-	address, err := net.ResolveUDPAddr("udp", opts.Self.PeerAddress)
+	address, err := net.ResolveUDPAddr("udp", cmp.Or(opts.Listen, opts.Self.PeerAddress))
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -13,6 +13,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -54,13 +55,16 @@
 	LogFormat       string
 	LogLevel        string
 	OperatorAddress string
-	PeerAddress     string
-	FleetTokens     string
-	OperatorTokens  string
-	TLSCertificate  string
-	TLSKey          string
-	TLSAuthority    string
-	StopBound       time.Duration
+	// PeerAddress is where other processes reach this one, and PeerListen where it
+	// listens if that is another address, as behind a forwarder; "" is the same.
+	PeerAddress    string
+	PeerListen     string
+	FleetTokens    string
+	OperatorTokens string
+	TLSCertificate string
+	TLSKey         string
+	TLSAuthority   string
+	StopBound      time.Duration
 }
 
 // ExitError is an error with the exit code that it leads to.
@@ -101,6 +105,11 @@
 	return ExitFailed
 }
 
+// PeerListener returns the address that the process listens on for its peers.
+func (co *Config) PeerListener() string {
+	return cmp.Or(co.PeerListen, co.PeerAddress)
+}
+
 // Keys returns the keys of the common settings, with defaults set.
 func (co *Config) Keys() []configfile.Key {
 	co.LogFormat = "json"
@@ -112,6 +121,7 @@
 		configfile.Duration("process", "stopBound", &co.StopBound, time.Second, 10*time.Minute),
 		configfile.Address("listen", "operators", &co.OperatorAddress, "an IP address and port", configfile.Required),
 		configfile.Address("listen", "peers", &co.PeerAddress, "an IP address and port", configfile.Required),
+		configfile.Address("listen", "peersListen", &co.PeerListen, "an IP address and port"),
 		configfile.Choice("log", "format", &co.LogFormat, []string{"json", "text"}),
 		configfile.Choice("log", "level", &co.LogLevel, []string{"debug", "info", "warning", "error"}),
 		configfile.File("credentials", "fleetTokens", &co.FleetTokens, "the path of a token file", configfile.Required),
