feat: repeats are kept for urgent work as far as it asks for them

While all upstreams of libretto-desk refused two fifths of their work for 8.5 s, the retry budget of the service went to lookups; about 400 show-publish, the most urgent kind, were refused with noRepeats. Ruled out: a budget that is too small for all of it: by the rule it can't be larger. Change: the ledger keeps as many repeats for more urgent ranks as these asked for in its window, half of its budget at most.

--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -234,7 +234,7 @@
 	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Target: targetOf(now, req.TargetIn), Forced: req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
 	refusal, refused := gu.refusal(now, req)
-	if !refused && req.Repeat && !gu.ledger.Take(now, gu.budgetPolicy(), gu.peers(), reserveOf(req.AfterTrial)) {
+	if !refused && req.Repeat && !gu.ledger.Take(now, gu.budgetPolicy(), gu.peers(), repeatOf(req.Rank, req.AfterTrial)) {
 		refusal, refused = wire.NotRun(outcome.NoRepeats, "the retry budget of the service is used up"), true
 	}
 	if refused {
--- a/cactusd/internal/gate/repeats.go
+++ b/cactusd/internal/gate/repeats.go
@@ -6,15 +6,8 @@
 	"cactusstream.example/core/rankqueue"
 )
 
-// trialReserve is how many repeats are kept for trials that fail: their own, and
-// one for work that fails by chance.
-const trialReserve = 2
-
-func reserveOf(afterTrial bool) int {
-	if afterTrial {
-		return 0
-	}
-	return trialReserve
+func repeatOf(rank int, afterTrial bool) budget.Repeat {
+	return budget.Repeat{Rank: rank, AfterTrial: afterTrial}
 }
 
 // budgetPolicy returns the retry budget of the service; the caller holds the lock.
--- a/core/budget/ledger.go
+++ b/core/budget/ledger.go
@@ -2,8 +2,18 @@
 
 import "time"
 
-// cells is how many parts of its window a Ledger tells apart.
-const cells = 20
+const (
+	// cells is how many parts of its window a Ledger tells apart.
+	cells = 20
+	// trialReserve is how many repeats are kept for trials that fail: their own, and
+	// one for work that fails by chance.
+	trialReserve = 2
+	// urgentShare of the budget at most is kept for more urgent ranks, as much as
+	// they asked for lately: where upstreams refuse part of all work, less urgent
+	// work would use it up.
+	urgentShare = 0.5
+	rankCount   = 4
+)
 
 // Policy is the budget of a service.
 type Policy struct {
@@ -25,6 +35,9 @@
 // The load pattern that it answers: upstreams in bouts fail work that may be
 // repeated, more than a daemon's own few requests a second would pay for.
 //
+// A part of the budget is kept for repeats after trials, and for more urgent ranks
+// that need repeats.
+//
 // The zero value is empty. It is not safe for concurrent use.
 type Ledger struct {
 	began time.Time
@@ -38,6 +51,15 @@
 	firsts  int
 	repeats int
 	peers   int
+	// asked counts the repeats that each rank asked for.
+	asked [rankCount]int
+}
+
+// Repeat is what the budget must know of a repeat.
+type Repeat struct {
+	Rank int
+	// AfterTrial says that the attempt before was a trial.
+	AfterTrial bool
 }
 
 // First notes a first attempt.
@@ -53,31 +75,70 @@
 // Left returns how many repeats the upstream may still get, when the service has
 // a number of upstreams.
 func (le *Ledger) Left(now time.Time, policy Policy, peers int) int {
+	return le.sum(now, policy, peers).left()
+}
+
+// May says whether the upstream may get a repeat.
+func (le *Ledger) May(now time.Time, policy Policy, peers int, rep Repeat) bool {
+	return le.sum(now, policy, peers).may(rep)
+}
+
+// Take notes a repeat, if the upstream may get it.
+func (le *Ledger) Take(now time.Time, policy Policy, peers int, rep Repeat) bool {
+	le.cell(now, policy).asked[rep.Rank]++
+	if !le.May(now, policy, peers, rep) {
+		return false
+	}
+	le.cell(now, policy).repeats++
+	return true
+}
+
+// total is what a window holds.
+type total struct {
+	allowed float64
+	repeats int
+	asked   [rankCount]int
+}
+
+func (to total) left() int {
+	return max(int(to.allowed)-to.repeats, 0)
+}
+
+func (to total) may(rep Repeat) bool {
+	urgent := 0
+	for _, count := range to.asked[:rep.Rank] {
+		urgent += count
+	}
+	kept := min(float64(urgent), urgentShare*to.allowed)
+	if !rep.AfterTrial {
+		kept += trialReserve
+	}
+	return float64(to.left())-kept >= 1
+}
+
+// sum adds up the cells of the window. The oldest, which is in it in part, counts
+// for repeats only.
+func (le *Ledger) sum(now time.Time, policy Policy, peers int) total {
 	current := le.cell(now, policy)
 	current.peers = max(current.peers, peers, 1)
-	firsts, repeats, most := 0, 0, 1
+	var to total
+	firsts, most := 0, 1
 	for _, cel := range le.cells {
 		age := current.number - cel.number
 		if age > cells {
 			continue
 		}
-		repeats += cel.repeats
+		to.repeats += cel.repeats
+		for rank, count := range cel.asked {
+			to.asked[rank] += count
+		}
 		most = max(most, cel.peers)
 		if age < cells {
 			firsts += cel.firsts
 		}
 	}
-	allowed := float64(policy.Percent*firsts)/100 + policy.Slack/float64(most)
-	return max(int(allowed)-repeats, 0)
-}
-
-// Take notes a repeat, if the upstream may get one and a reserve is left.
-func (le *Ledger) Take(now time.Time, policy Policy, peers, reserve int) bool {
-	if le.Left(now, policy, peers) < 1+reserve {
-		return false
-	}
-	le.cell(now, policy).repeats++
-	return true
+	to.allowed = float64(policy.Percent*firsts)/100 + policy.Slack/float64(most)
+	return to
 }
 
 // cell returns the cell of a time, emptied if it held an earlier one.
--- a/core/budget/ledger_test.go
+++ b/core/budget/ledger_test.go
@@ -13,6 +13,9 @@
 	"cactusstream.example/core/budget"
 )
 
+// afterTrial is a repeat for which nothing is kept back.
+var afterTrial = budget.Repeat{AfterTrial: true}
+
 // arrival is one attempt that reached an upstream.
 type arrival struct {
 	at     time.Time
@@ -46,7 +49,7 @@
 		for range rapid.IntRange(0, 200).Draw(rt, "count") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "pause")) * time.Millisecond)
 			if rapid.Bool().Draw(rt, "repeat") {
-				if !led.Take(now, policy, 3, 0) {
+				if !led.Take(now, policy, 3, afterTrial) {
 					continue
 				}
 				if naiveLeft(arrivals, now, policy, 3) < 1 {
@@ -66,11 +69,11 @@
 	policy := budget.Policy{Window: 10 * time.Second, Slack: 2}
 	led := &budget.Ledger{}
 	now := time.Unix(1000, 0)
-	is.True(led.Take(now, policy, 1, 0))
-	is.True(led.Take(now, policy, 1, 0))
-	is.True(!led.Take(now.Add(9*time.Second), policy, 1, 0))
+	is.True(led.Take(now, policy, 1, afterTrial))
+	is.True(led.Take(now, policy, 1, afterTrial))
+	is.True(!led.Take(now.Add(9*time.Second), policy, 1, afterTrial))
 	is.Equal(led.Left(now.Add(11*time.Second), policy, 1), 2)
-	is.True(led.Take(now.Add(11*time.Second), policy, 1, 0))
+	is.True(led.Take(now.Add(11*time.Second), policy, 1, afterTrial))
 	led.GiveBack(now.Add(11*time.Second), policy)
 	is.Equal(led.Left(now.Add(12*time.Second), policy, 1), 2)
 }
@@ -150,7 +153,7 @@
 			ledgers := make([]budget.Ledger, loa.Upstreams)
 			ours, oursOver := replayBouts(loa,
 				func(now time.Time, _, upstream int) bool {
-					return ledgers[upstream].Take(now, policy, loa.Upstreams, 0)
+					return ledgers[upstream].Take(now, policy, loa.Upstreams, afterTrial)
 				},
 				func(now time.Time, _, upstream int) { ledgers[upstream].First(now, policy) })
 			t.Logf("failed work that was repeated: ledgers %.3f, budgets of daemons %.3f; over the budget in the worst window: %.0f and %.0f", ours, naive, oursOver, naiveOver)
@@ -169,8 +172,37 @@
 	led := &budget.Ledger{}
 	now := time.Unix(1000, 0)
 	for range 4 {
-		is.True(led.Take(now, policy, 1, 2))
+		is.True(led.Take(now, policy, 1, budget.Repeat{}))
+	}
+	is.True(!led.Take(now, policy, 1, budget.Repeat{}))
+	is.True(led.Take(now, policy, 1, afterTrial)) // After a trial.
+}
+
+// TestUrgentWorkKeepsItsRepeats is the pattern of upstreams that refuse part of
+// all work: calls and lookups come often, and must not use up what urgent orders
+// need; where no order needs any, they get them all.
+func TestUrgentWorkKeepsItsRepeats(t *testing.T) {
+	is := is.New(t)
+	policy := budget.Policy{Window: 10 * time.Second, Percent: 20, Slack: 2}
+	now := time.Unix(1000, 0)
+	repeats := func(urgentEvery int) (urgent, other int) {
+		led := &budget.Ledger{}
+		for range 100 {
+			led.First(now, policy)
+		}
+		for number := range 100 {
+			if number%urgentEvery == 0 && led.Take(now, policy, 1, budget.Repeat{Rank: 0}) {
+				urgent++
+			}
+			if led.Take(now, policy, 1, budget.Repeat{Rank: 1}) {
+				other++
+			}
+		}
+		return urgent, other
 	}
-	is.True(!led.Take(now, policy, 1, 2))
-	is.True(led.Take(now, policy, 1, 0)) // After a trial.
+	urgent, other := repeats(1000)
+	is.Equal(urgent, 1)
+	is.Equal(other, 18) // Of 22, but for one that is kept for urgent work and two for trials.
+	urgent, other = repeats(2)
+	is.True(urgent >= other) // Though it asks half as often.
 }
