fix: no body travels to gates without a repeat, and an upstream's answer stands

Cause: read again. A request that needed a repeat went to up to four gates with its body although their quotes had said that they had none; and a request that an upstream had failed was answered 502 when another gate then refused it. Ruled out: a wrong promise; all of these ended as 500, 502 or as a proved refusal. TestNoBodyTravelsWithoutARepeat saw four bodies before.

--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -36,6 +36,7 @@
 	in.deposit(jo)
 	sea := in.newSearch(jo)
 	mayHaveRun := false
+	var ran *wire.RunAnswer
 	for {
 		cho, ok := sea.next(ctx)
 		if !ok {
@@ -44,11 +45,17 @@
 		try := in.try(ctx, jo, cho)
 		sea.note(try.answer)
 		mayHaveRun = mayHaveRun || try.answer.Outcome != outcome.NotRun
+		if try.answer.Outcome == outcome.Ran {
+			ran = &try.answer
+		}
 		if isGood(try.answer) || !try.paid && !in.mayRepeat(jo, cho, try.answer) {
 			break
 		}
 	}
 	last := sea.last
+	if last.Outcome != outcome.Ran && ran != nil {
+		last = *ran // What an upstream answered tells more than that no other would.
+	}
 	if last.Outcome == outcome.NotRun && mayHaveRun {
 		last.Outcome = outcome.Unknown
 	}
--- a/cactusd/internal/ingress/foreign_test.go
+++ b/cactusd/internal/ingress/foreign_test.go
@@ -342,3 +342,26 @@
 	is.Equal(rec.Header().Get("X-Seal"), "own")
 	is.True(len(runner.places()) <= 6) // It does not go round all gates in vain.
 }
+
+// TestNoBodyTravelsWithoutARepeat is the same where the quotes say so already: no
+// gate is sent a body that it would refuse, and the upstream's answer stands.
+func TestNoBodyTravelsWithoutARepeat(t *testing.T) {
+	is := is.New(t)
+	var failed atomic.Bool
+	runner := &quotingRunner{
+		quote: func(fleet.Endpoint) (wire.QuoteAnswer, error) {
+			if failed.Load() {
+				return wire.QuoteAnswer{Refused: outcome.NoRepeats}, nil
+			}
+			return wire.QuoteAnswer{}, nil
+		},
+		answer: func(fleet.Endpoint, wire.RunRequest) (wire.RunAnswer, error) {
+			failed.Store(true)
+			return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusInternalServerError, Header: wire.Header{"X-Seal": {"own"}}}, nil
+		},
+	}
+	rec := call(newForeign(t, runner, holderOf(t, foreignTree())), "/look/7", "2000", "body")
+	is.Equal(rec.Code, 500)
+	is.Equal(rec.Header().Get("X-Seal"), "own")
+	is.Equal(len(runner.places()), 1)
+}
--- a/cactusd/internal/ingress/quote.go
+++ b/cactusd/internal/ingress/quote.go
@@ -30,10 +30,20 @@
 	err    error
 }
 
-// chooseByQuote asks a few endpoints for their wait and returns the best. A
-// verdict that is not in time says that the request could not end in time at
-// any of those that were asked; wait is the least that was quoted.
-func (in *Ingress) chooseByQuote(ctx context.Context, jo *job, ends []fleet.Endpoint) (cho choice, inTime bool, wait time.Duration) {
+// offer is what came of asking a few endpoints.
+type offer struct {
+	// choice is the best of them; without an endpoint none takes work now.
+	choice
+	// inTime says that the request can end in time there.
+	inTime bool
+	// took is the wait and the work that it quoted.
+	took time.Duration
+	// isUnpaid says that some had no repeat for the request, and the others no room.
+	isUnpaid bool
+}
+
+// chooseByQuote asks a few endpoints for their wait and returns the best.
+func (in *Ingress) chooseByQuote(ctx context.Context, jo *job, ends []fleet.Endpoint) offer {
 	policy := place.Policy{Zone: in.opts.Zone, Near: jo.pool.Quotes, Far: jo.pool.Quotes, FarCost: jo.pool.ZoneCost, Margin: timeMargin}
 	places := make([]place.Place, 0, len(ends))
 	for _, end := range ends {
@@ -45,7 +55,7 @@
 	}
 	near, far := place.Sample(rand.New(globalSource{}), places, policy)
 	if len(near)+len(far) == 1 {
-		return choice{end: ends[append(near, far...)[0]]}, true, 0
+		return offer{choice: choice{end: ends[append(near, far...)[0]]}, inTime: true}
 	}
 	remaining := jo.deadline.Sub(in.opts.Clock.Now())
 	asked := round{places: places}
@@ -54,14 +64,14 @@
 		asked.add(in.askQuotes(ctx, jo, ends, far))
 	}
 	if len(asked.doubtful) > 0 && in.mayTry(jo) && rand.Float64() < doubtTrialShare {
-		return choice{end: ends[asked.doubtful[0]], trial: true}, true, 0
+		return offer{choice: choice{end: ends[asked.doubtful[0]], trial: true}, inTime: true}
 	}
 	ver := place.Best(asked.quotes, remaining, policy)
 	if ver.At < 0 {
-		return choice{}, false, 0
+		return offer{isUnpaid: asked.isUnpaid}
 	}
 	best := asked.quotes[ver.At]
-	return choice{end: ends[asked.from[ver.At]]}, ver.InTime, best.Wait + best.Need
+	return offer{choice: choice{end: ends[asked.from[ver.At]]}, inTime: ver.InTime, took: best.Wait + best.Need}
 }
 
 // round is what the endpoints that were asked for one choice have quoted.
@@ -72,20 +82,26 @@
 	from []int
 	// doubtful are the endpoints that would take a trial.
 	doubtful []int
+	// isUnpaid says that some had no repeat for the request.
+	isUnpaid bool
 }
 
 func (ro *round) add(quotes []quoted) {
 	for _, quo := range quotes {
-		if quo.answer.Load.Doubtful {
+		switch {
+		case quo.answer.Refused == outcome.NoRepeats:
+			ro.isUnpaid = true
+		case quo.answer.Refused != "":
+		case quo.answer.Load.Doubtful:
 			ro.doubtful = append(ro.doubtful, quo.at)
-			continue
+		default:
+			ro.quotes = append(ro.quotes, place.Quote{Place: ro.places[quo.at], Wait: quo.answer.Wait, Need: quo.answer.Need})
+			ro.from = append(ro.from, quo.at)
 		}
-		ro.quotes = append(ro.quotes, place.Quote{Place: ro.places[quo.at], Wait: quo.answer.Wait, Need: quo.answer.Need})
-		ro.from = append(ro.from, quo.at)
 	}
 }
 
-// askQuotes returns the quotes of endpoints that would take the request.
+// askQuotes returns the answers of endpoints that came in time.
 func (in *Ingress) askQuotes(ctx context.Context, jo *job, ends []fleet.Endpoint, sample []int) []quoted {
 	if len(sample) == 0 {
 		return nil
@@ -106,11 +122,12 @@
 	for range sample {
 		select {
 		case quo := <-answers:
-			if quo.err == nil && quo.answer.Refused == "" {
-				quotes = append(quotes, quo)
-				if late == nil {
-					late = time.After(quoteSpread)
-				}
+			if quo.err != nil {
+				continue
+			}
+			quotes = append(quotes, quo)
+			if late == nil && quo.answer.Refused == "" {
+				late = time.After(quoteSpread)
 			}
 		case <-late:
 			return quotes
--- a/cactusd/internal/ingress/search.go
+++ b/cactusd/internal/ingress/search.go
@@ -112,16 +112,20 @@
 		if len(sta.good) == 0 {
 			break
 		}
-		cho, inTime, wait := in.chooseByQuote(ctx, jo, sta.good)
-		if cho.end.Key == "" {
+		off := in.chooseByQuote(ctx, jo, sta.good)
+		if off.end.Key == "" && off.isUnpaid {
+			se.unpaid = maxUnpaid
+			return choice{}, false
+		}
+		if off.end.Key == "" {
 			break // None of those that were asked takes work now.
 		}
-		if inTime {
-			return cho, true
+		if off.inTime {
+			return off.choice, true
 		}
 		se.lateRounds++
-		se.seen[cho.end.Key] = true
-		se.refuse(wait)
+		se.seen[off.end.Key] = true
+		se.refuse(off.took)
 	}
 	if se.lateRounds > 0 {
 		return choice{}, false
