--- a/standin/internal/story/measure_test.go
+++ b/standin/internal/story/measure_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -33,6 +34,15 @@
 	targetLeaveMs      = 2000
 )
 
+// The least samples of measures that count what must not happen.
+const (
+	leastAnswers  = 1000
+	leastKeys     = 400
+	leastRefusals = 1000
+	leastRequests = 500
+	leastSamples  = 50
+)
+
 // measure prints one line: name, value, unit, target, ok or short.
 func measure(name string, value float64, unit, target string, ok bool) {
 	verdict := "ok"
@@ -46,6 +56,12 @@
 	measure(name, value, unit, "<="+strconv.FormatFloat(target, 'f', -1, 64), value <= target)
 }
 
+// noneOf is a count that must be 0 among a sample; a sample under its stated least
+// shows nothing and is short.
+func noneOf(name string, count, sample int, of string, least int) {
+	measure(name, float64(count), fmt.Sprintf("of%d%s", sample, of), fmt.Sprintf("<=0of%d", least), count == 0 && sample >= least)
+}
+
 func round(value float64, digits int) float64 {
 	text := strconv.FormatFloat(value, 'f', digits, 64)
 	rounded, _ := strconv.ParseFloat(text, 64)
@@ -70,6 +86,7 @@
 		{"leaveTime", measureLeave},
 		{"settingsInForce", measureSettings},
 		{"doubleRuns", measureCrashes},
+		{"falseNotRun", measureRefusals},
 		{"cutInFlight", measureRollingRestart},
 		{"daemonCost", measureCost},
 	} {
@@ -258,7 +275,7 @@
 		}
 	}
 	wait()
-	atMost("floorBreaches", float64(breaches), fmt.Sprintf("of%dsamples(most out %d of 6)", samples, most), 0)
+	noneOf("floorBreaches", breaches, samples, fmt.Sprintf("samples(most out %d of 6)", most), leastSamples)
 }
 
 // measureRanks floods the pool with the least urgent work, then with the most
@@ -346,7 +363,7 @@
 	after := fl.runsOf("stock11")
 	atMost("leaveTime.known", round(float64(known.Milliseconds()), 0), "ms", targetLeaveMs)
 	atMost("leaveTime.newWorkAfter", float64(after-atLeave), fmt.Sprintf("requests(in %ds)", int(time.Since(left).Seconds())), 0)
-	atMost("leaveTime.failedRequests", float64(rep.Sent-rep.Good), fmt.Sprintf("of%d", rep.Sent), 0)
+	noneOf("leaveTime.failedRequests", rep.Sent-rep.Good, rep.Sent, "", leastRequests)
 }
 
 func (fl *fleet) runsOf(id string) int {
@@ -415,7 +432,7 @@
 	fl.signal("d3", syscall.SIGCONT)
 	reports := wait()
 	runs, _ := fl.runsByKey()
-	doubles, falseNotRun, wrong := 0, 0, 0
+	doubles, wrong := 0, 0
 	for _, times := range runs {
 		if times > 1 {
 			doubles++
@@ -423,15 +440,9 @@
 	}
 	for _, rep := range reports {
 		wrong += rep.WrongAnswers
-		for _, key := range rep.NotRunKeys {
-			if runs[key] > 0 {
-				falseNotRun++
-			}
-		}
 	}
-	atMost("doubleRuns", float64(doubles), fmt.Sprintf("of%dkeys", len(runs)), 0)
-	atMost("falseNotRun", float64(falseNotRun), fmt.Sprintf("of%d", len(reports[0].NotRunKeys)), 0)
-	atMost("wrongAnswers", float64(wrong), fmt.Sprintf("of%d", reports[0].Sent+reports[1].Sent), 0)
+	noneOf("doubleRuns", doubles, len(runs), "keys", leastKeys)
+	noneOf("wrongAnswers", wrong, reports[0].Sent+reports[1].Sent, "", leastAnswers)
 	measure("deliveredDuringCrashes.orders", round(float64(reports[0].Good)/float64(reports[0].Sent), 3), "share(callers do not try another daemon)", "-", true)
 	measure("deliveredDuringCrashes.lookups", round(float64(reports[1].Good)/float64(reports[1].Sent), 3), "share(callers do not try another daemon)", "-", true)
 }
@@ -451,5 +462,32 @@
 		cut += cutRequests(rep) + rep.Outcomes["unknown"]
 		sent += rep.Sent
 	}
-	atMost("cutInFlight", float64(cut), fmt.Sprintf("of%d", sent), 0)
+	noneOf("cutInFlight", cut, sent, "", leastAnswers)
+}
+
+// measureRefusals floods orders far beyond the slots while an upstream refuses
+// its part and a daemon is killed, and looks for refused orders that ran.
+func measureRefusals(t *testing.T) {
+	fl := newQuillota(t, 1, 200*time.Millisecond)
+	wait := background(fl, caller.Config{Method: "POST", Path: "/corte/order", Rate: 300, Duration: 10 * time.Second, Keys: true})
+	time.Sleep(2 * time.Second)
+	fl.fault("cutter11", upstream.Fault{Kind: upstream.FaultShed, Share: 0.5})
+	time.Sleep(2 * time.Second)
+	fl.kill("d2")
+	time.Sleep(time.Second)
+	fl.restart("d2")
+	rep := wait()[0]
+	runs, _ := fl.runsByKey()
+	falseNotRun := 0
+	for _, key := range rep.NotRunKeys {
+		if runs[key] > 0 {
+			falseNotRun++
+		}
+	}
+	noneOf("falseNotRun", falseNotRun, len(rep.NotRunKeys), fmt.Sprintf("(reasons %v)", reasonsOf(rep)), leastRefusals)
+}
+
+func reasonsOf(rep caller.Report) string {
+	names := slices.Sorted(maps.Keys(rep.Reasons))
+	return strings.ReplaceAll(strings.Join(names, ","), " ", "-")
 }
