--- a/core/budget/ledger.go
+++ b/core/budget/ledger.go
@@ -1,6 +1,10 @@
 package budget
 
-import "time"
+import (
+	"time"
+
+	"cactusstream.example/core/rankqueue"
+)
 
 const (
 	// cells is how many parts of its window a Ledger tells apart.
@@ -12,7 +16,6 @@
 	// they asked for lately: where upstreams refuse part of all work, less urgent
 	// work would use it up.
 	urgentShare = 0.5
-	rankCount   = 4
 )
 
 // Policy is the budget of a service.
@@ -52,7 +55,7 @@
 	repeats int
 	peers   int
 	// asked counts the repeats that each rank asked for.
-	asked [rankCount]int
+	asked [rankqueue.RankCount]int
 }
 
 // Repeat is what the budget must know of a repeat.
@@ -97,7 +100,7 @@
 type total struct {
 	allowed float64
 	repeats int
-	asked   [rankCount]int
+	asked   [rankqueue.RankCount]int
 }
 
 func (to total) left() int {
