--- a/standin/internal/story/soak_test.go
+++ b/standin/internal/story/soak_test.go
@@ -134,6 +134,7 @@
 func playSoak(t *testing.T, tc soakCase) {
 	fl := newForwardedFleet(t, 3).serveQuillota(2, 20*time.Millisecond)
 	so := &soak{fl: fl, rng: rand.New(rand.NewPCG(tc.Seed, 17)), busy: make(map[string]bool), began: time.Now()}
+	defer so.logFaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	lasts := time.Duration(tc.Seconds) * time.Second
@@ -171,9 +172,16 @@
 		}
 	}
 	checkHistory(t, <-history)
-	if t.Failed() {
-		t.Logf("faults:\n%s", strings.Join(so.log, "\n"))
+}
+
+// logFaults tells what was done in a run that failed.
+func (so *soak) logFaults() {
+	if !so.fl.t.Failed() {
+		return
 	}
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	so.fl.t.Logf("faults:\n%s", strings.Join(so.log, "\n"))
 }
 
 // play begins faults for a time; each ends by itself.
