fix: a caller that has left sends nothing

Ruled out: a dial that was under way; the message was queued and begun by the writer. Change: call looks at the context first.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -82,6 +82,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	if timeout <= 0 {
 		return nil, fmt.Errorf("%w: the deadline has passed", ErrNotSent)
 	}
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -130,6 +130,34 @@
 	is.Equal(fi.asked.Load(), int64(0))
 }
 
+// TestCallersThatHaveLeftSendNothing makes calls for callers that left before, over
+// a connection that is open.
+func TestCallersThatHaveLeftSendNothing(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t)
+	_, err := fi.call(context.Background(), echo{})
+	is.NoErr(err)
+	asked := fi.asked.Load()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var sent atomic.Int64
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 5000 {
+				if _, err := fi.call(ctx, echo{}); !errors.Is(err, link.ErrNotSent) {
+					sent.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(sent.Load(), int64(0))
+	_, err = fi.call(context.Background(), echo{})
+	is.NoErr(err)
+	is.Equal(fi.asked.Load(), asked+1)
+}
+
 // TestShortDeadlineDoesNotSpoilTheDial begins a dial with a call that can't
 // wait for it; others get the connection that it makes.
 func TestShortDeadlineDoesNotSpoilTheDial(t *testing.T) {
