test: groups of keepers have addresses of their own

The group drew free ports of 127.0.0.1 and gave them back until a keeper started; connections that other keepers made meanwhile may take such a port as their own. Ruled out: a keeper that was still running; the first start of a group failed. Change: each group has addresses 127.x.y.z, where no connection begins. The checks are the same. Other tests that draw free ports listen on them at once or within a millisecond; they are listed as open.

--- a/cactuskeeper/server/server_test.go
+++ b/cactuskeeper/server/server_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"crypto/ed25519"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,13 +28,16 @@
 	patience = 60 * time.Second
 )
 
+var groups atomic.Int64
+
 // group is keepers that find each other by three seeds.
 type group struct {
-	t     *testing.T
-	dir   string
-	ports []int
-	seeds []string
-	nodes []*node
+	t   *testing.T
+	dir string
+	// number tells the groups of this process apart.
+	number int
+	seeds  []string
+	nodes  []*node
 }
 
 // node is one keeper; it can be stopped, lose its disk and start again.
@@ -46,15 +49,7 @@
 
 func newGroup(t *testing.T, size int) *group {
 	t.Helper()
-	gr := &group{t: t, dir: t.TempDir(), nodes: make([]*node, size)}
-	for range 2 * size {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		gr.ports = append(gr.ports, lis.Addr().(*net.TCPAddr).Port)
-		_ = lis.Close()
-	}
+	gr := &group{t: t, dir: t.TempDir(), nodes: make([]*node, size), number: int(groups.Add(1))}
 	for at := range 3 {
 		gr.seeds = append(gr.seeds, gr.address(2*at))
 	}
@@ -66,8 +61,10 @@
 	return gr
 }
 
-func (gr *group) address(port int) string {
-	return fmt.Sprintf("127.0.0.1:%d", gr.ports[port])
+// address returns one of the group's own addresses: connections that others make
+// come from 127.0.0.1, and can't take its port before a keeper listens on it.
+func (gr *group) address(number int) string {
+	return fmt.Sprintf("127.%d.%d.%d:7000", 100+os.Getpid()%100, gr.number, number+1)
 }
 
 func (gr *group) folder(at int) string {
