fix: repeats given back late, trials without a repeat, bouts long after a failure

Cause: three faults of this change, found on reading it again. A repeat that waited in vain was given back at the time of its refusal; once the window had passed over its taking, the ledger allowed one repeat more than arrived. A trial of a sick upstream that the retry budget refused left the upstream marked as on trial, and its gate refused every later one. cactusctl explain request blamed a bout that began up to ten seconds after the failure. Change: GiveBack takes the time of the taking; the refused trial ends; a bout explains a failure within a second of it.

--- a/cactusctl/internal/timeline/timeline.go
+++ b/cactusctl/internal/timeline/timeline.go
@@ -32,6 +32,10 @@
 // bouts last seconds, and a stop has a few.
 const Around = 10 * time.Second
 
+// blame is how far from a failure the beginning of a bout may be that explains it:
+// the gate notes both when the attempt ends.
+const blame = time.Second
+
 // maxLine bounds a line of a log, in bytes.
 const maxLine = 1 << 20
 
@@ -187,7 +191,7 @@
 func (ti *Timeline) failedAtUpstream(end Entry) string {
 	text := fmt.Sprintf("failed by an upstream with status %d after %d ms", end.Status, end.HeldMillis)
 	for _, ent := range ti.Entries() {
-		if ent.Event == events.UpstreamDoubtful.Number && !ent.Time.Before(end.Time.Add(-time.Second)) {
+		if ent.Event == events.UpstreamDoubtful.Number && ent.Time.Sub(end.Time).Abs() <= blame {
 			return text + "; a bout of failures began at " + ent.Upstream
 		}
 	}
@@ -208,17 +212,18 @@
 	return met
 }
 
+// span returns when the request came and when its last line was written.
 func (ti *Timeline) span() (first, last time.Time) {
 	first, last = ti.entries[0].Time, ti.entries[0].Time
 	for _, ent := range ti.entries {
-		if ent.Time.Before(first) {
-			first = ent.Time
+		if began := ent.Time.Add(-time.Duration(ent.HeldMillis) * time.Millisecond); began.Before(first) {
+			first = began
 		}
 		if ent.Time.After(last) {
 			last = ent.Time
 		}
 	}
-	return first.Add(-time.Duration(ti.entries[0].HeldMillis) * time.Millisecond), last
+	return first, last
 }
 
 // isContext says whether an event may explain requests that it doesn't name: those
--- a/cactusd/internal/gate/doubt_test.go
+++ b/cactusd/internal/gate/doubt_test.go
@@ -188,3 +188,27 @@
 	}
 	is.Equal(ran, firsts*policy.RetryPercent/100-2) // Two are kept for trials.
 }
+
+// TestTrialWithoutARepeatBlocksNoOther refuses a trial of a sick upstream because
+// the budget has no repeat for it; the next trial must go through.
+func TestTrialWithoutARepeatBlocksNoOther(t *testing.T) {
+	is := is.New(t)
+	var status atomic.Int64
+	status.Store(500)
+	policy := defaultPolicy()
+	policy.EjectThreshold, policy.EjectBase, policy.RetryPercent, policy.RetrySlack = 1, 100*time.Millisecond, 0, 0
+	ga := newForeignGate(policy, nil)
+	announce(t, ga, serveStatus(t, &status), 4)
+	for number := 0; ga.Dump()[0]["state"] == "ready" && number < 1000; number++ {
+		ga.Run(context.Background(), foreignRequest(fmt.Sprint(number), true))
+	}
+	is.True(ga.Dump()[0]["state"] != "ready")
+	for ga.Dump()[0]["state"] != "trial" {
+		time.Sleep(time.Millisecond)
+	}
+	trial := foreignRequest("repeat", true)
+	trial.Trial, trial.Repeat = true, true
+	is.Equal(ga.Run(context.Background(), trial).Reason, outcome.NoRepeats)
+	trial.Repeat = false
+	is.Equal(ga.Run(context.Background(), trial).Outcome, outcome.Ran)
+}
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -236,6 +236,7 @@
 	refusal, refused := gu.refusal(now, req)
 	if !refused && req.Repeat && !gu.ledger.Take(now, gu.budgetPolicy(), gu.peers(), repeatOf(req.Rank, req.AfterTrial)) {
 		refusal, refused = wire.NotRun(outcome.NoRepeats, "the retry budget of the service is used up"), true
+		gu.trying = gu.trying && !req.Trial // The trial that was let through does not run.
 	}
 	if refused {
 		gu.mu.Unlock()
@@ -247,7 +248,7 @@
 	if dec == rankqueue.Wait {
 		dec = gu.await(ctx, item, decided)
 	}
-	gu.noteArrival(req, dec)
+	gu.noteArrival(req, now, dec)
 	if dec == rankqueue.Run {
 		return wire.RunAnswer{}, false
 	}
--- a/cactusd/internal/gate/repeats.go
+++ b/cactusd/internal/gate/repeats.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"time"
+
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/budget"
 	"cactusstream.example/core/rankqueue"
@@ -25,15 +27,14 @@
 }
 
 // noteArrival counts an attempt that goes to the upstream, and gives back the
-// repeat of one that does not.
-func (gu *guard) noteArrival(req wire.RunRequest, dec rankqueue.Decision) {
+// repeat, taken when it came, of one that does not.
+func (gu *guard) noteArrival(req wire.RunRequest, came time.Time, dec rankqueue.Decision) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	now := gu.opts.Clock.Now()
 	switch {
 	case dec == rankqueue.Run && !req.Repeat:
-		gu.ledger.First(now, gu.budgetPolicy())
+		gu.ledger.First(gu.opts.Clock.Now(), gu.budgetPolicy())
 	case dec != rankqueue.Run && req.Repeat:
-		gu.ledger.GiveBack(now, gu.budgetPolicy())
+		gu.ledger.GiveBack(came, gu.budgetPolicy())
 	}
 }
--- a/core/budget/ledger.go
+++ b/core/budget/ledger.go
@@ -70,9 +70,12 @@
 	le.cell(now, policy).firsts++
 }
 
-// GiveBack takes back a repeat that did not reach the upstream.
-func (le *Ledger) GiveBack(now time.Time, policy Policy) {
-	le.cell(now, policy).repeats--
+// GiveBack takes back a repeat that was taken at a time and did not reach the
+// upstream. One that the window has passed over counts no more in any case.
+func (le *Ledger) GiveBack(taken time.Time, policy Policy) {
+	if cel, number := le.at(taken, policy); cel.number == number {
+		cel.repeats--
+	}
 }
 
 // Left returns how many repeats the upstream may still get, when the service has
@@ -146,13 +149,19 @@
 
 // cell returns the cell of a time, emptied if it held an earlier one.
 func (le *Ledger) cell(now time.Time, policy Policy) *cell {
-	if le.began.IsZero() {
-		le.began = now
-	}
-	number := int64(now.Sub(le.began) / max(policy.Window/cells, 1))
-	cel := &le.cells[number%int64(len(le.cells))]
+	cel, number := le.at(now, policy)
 	if cel.number != number {
 		*cel = cell{number: number}
 	}
 	return cel
 }
+
+// at returns the cell that a time falls into, whatever it holds now, and the number
+// that it has if it holds that time.
+func (le *Ledger) at(now time.Time, policy Policy) (cel *cell, number int64) {
+	if le.began.IsZero() {
+		le.began = now
+	}
+	number = int64(now.Sub(le.began) / max(policy.Window/cells, 1))
+	return &le.cells[number%int64(len(le.cells))], number
+}
--- a/core/budget/ledger_test.go
+++ b/core/budget/ledger_test.go
@@ -206,3 +206,22 @@
 	urgent, other = repeats(2)
 	is.True(urgent >= other) // Though it asks half as often.
 }
+
+// TestRepeatThatIsGivenBackLateGivesNoOtherTwice gives a repeat back after most of
+// a window, as one that waited in vain: once the window has passed over its
+// taking, it must not count for another one.
+func TestRepeatThatIsGivenBackLateGivesNoOtherTwice(t *testing.T) {
+	is := is.New(t)
+	policy := budget.Policy{Window: 10 * time.Second, Slack: 2}
+	led := &budget.Ledger{}
+	taken := time.Unix(1000, 0)
+	is.True(led.Take(taken, policy, 1, afterTrial))
+	is.Equal(led.Left(taken.Add(8*time.Second), policy, 1), 1)
+	led.GiveBack(taken, policy)
+	is.Equal(led.Left(taken.Add(8*time.Second), policy, 1), 2)
+	is.Equal(led.Left(taken.Add(12*time.Second), policy, 1), 2)
+	later := taken.Add(10500 * time.Millisecond) // The same cell, a window later.
+	is.True(led.Take(later, policy, 1, afterTrial))
+	led.GiveBack(taken, policy) // Its cell is gone: nothing to give back.
+	is.Equal(led.Left(later, policy, 1), 1)
+}
