refactor: one policy, one reserve and one decay for what load needs twice

Cause: read again, the change had some things twice: the number of peers beside every use of the retry budget's policy; the reserve for trials in the ledger, the search and the tracker; a fading average in demand and in losses; the test whether an item can still end; the reading of load files in four replays; the bookkeeping of an attempt that was given up beside that of any other. The throttle's Note took a time that it no longer used, and a count was only ever compared with zero. Change: budget.Policy.Peers, budget.TrialReserve, rankqueue's fading and Item.isLost, core/loadfile, Ingress.ended, job.isRepeat. No behaviour changes. Ruled out as not the same logic: the doubled shapes of cobra commands and of constants.

--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -234,7 +234,7 @@
 	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Target: targetOf(now, req.TargetIn), Forced: req.Forced, Attempt: req.Attempt, Decided: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
 	refusal, refused := gu.refusal(now, req)
-	if !refused && req.Repeat && !gu.ledger.Take(now, gu.budgetPolicy(), gu.peers(), repeatOf(req.Rank, req.AfterTrial)) {
+	if !refused && req.Repeat && !gu.ledger.Take(now, gu.budgetPolicy(), repeatOf(req.Rank, req.AfterTrial)) {
 		refusal, refused = wire.NotRun(outcome.NoRepeats, "the retry budget of the service is used up"), true
 		gu.trying = gu.trying && !req.Trial // The trial that was let through does not run.
 	}
@@ -408,7 +408,7 @@
 
 // load returns what the upstream has to do; the caller holds the lock.
 func (gu *guard) load(now time.Time) wire.Load {
-	load := wire.Load{Running: gu.queue.Running(), Doubtful: gu.filter.IsDoubtful(now), Repeats: gu.ledger.Left(now, gu.budgetPolicy(), gu.peers())}
+	load := wire.Load{Running: gu.queue.Running(), Doubtful: gu.filter.IsDoubtful(now), Repeats: gu.ledger.Left(now, gu.budgetPolicy())}
 	for _, count := range gu.queue.Waiting() {
 		load.Waiting += count
 	}
@@ -441,6 +441,6 @@
 	return map[string]any{
 		"id": gu.ann.ID, "service": gu.ann.Service, "address": gu.ann.Address, "slots": gu.ann.Slots,
 		"state": rec.State.String(), "reason": rec.Reason, "running": gu.queue.Running(),
-		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.judge.ErrorRate(), "boutEstimate": gu.filter.Estimate(gu.opts.Clock.Now()), "reportedBusy": gu.reported, "repeatsLeft": gu.ledger.Left(gu.opts.Clock.Now(), gu.budgetPolicy(), gu.peers()),
+		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.judge.ErrorRate(), "boutEstimate": gu.filter.Estimate(gu.opts.Clock.Now()), "reportedBusy": gu.reported, "repeatsLeft": gu.load(gu.opts.Clock.Now()).Repeats,
 	}
 }
--- a/cactusd/internal/gate/quote.go
+++ b/cactusd/internal/gate/quote.go
@@ -28,7 +28,7 @@
 		ans.Refused = outcome.Stopping
 	case ans.Load.Doubtful && (!req.Idempotent || !gu.filter.IsTrialDue(now)):
 		ans.Refused = outcome.Doubtful
-	case req.Repeat && !gu.ledger.May(now, gu.budgetPolicy(), gu.peers(), repeatOf(req.Rank, req.AfterTrial)):
+	case req.Repeat && !gu.ledger.May(now, gu.budgetPolicy(), repeatOf(req.Rank, req.AfterTrial)):
 		ans.Refused = outcome.NoRepeats
 	}
 	return ans
--- a/cactusd/internal/gate/repeats.go
+++ b/cactusd/internal/gate/repeats.go
@@ -12,18 +12,14 @@
 	return budget.Repeat{Rank: rank, AfterTrial: afterTrial}
 }
 
-// budgetPolicy returns the retry budget of the service; the caller holds the lock.
+// budgetPolicy returns the retry budget of the service.
 func (gu *guard) budgetPolicy() budget.Policy {
 	po := gu.opts.Policy(gu.ann.Service)
-	return budget.Policy{Window: po.RetryWindow, Percent: po.RetryPercent, Slack: float64(po.RetrySlack) * po.RetryWindow.Minutes()}
-}
-
-// peers returns how many upstreams share the budget.
-func (gu *guard) peers() int {
-	if gu.opts.Peers == nil {
-		return 1
+	policy := budget.Policy{Window: po.RetryWindow, Percent: po.RetryPercent, Slack: float64(po.RetrySlack) * po.RetryWindow.Minutes()}
+	if gu.opts.Peers != nil {
+		policy.Peers = gu.opts.Peers(gu.ann.Service)
 	}
-	return gu.opts.Peers(gu.ann.Service)
+	return policy
 }
 
 // noteArrival counts an attempt that goes to the upstream, and gives back the
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -59,7 +59,7 @@
 	if last.Outcome == outcome.NotRun && mayHaveRun {
 		last.Outcome = outcome.Unknown
 	}
-	in.throttle(jo).Note(in.opts.Clock.Now(), !isOverload(last))
+	in.throttle(jo).Note(!isOverload(last))
 	return last
 }
 
@@ -95,10 +95,9 @@
 	case <-patience.C:
 	}
 	if in.hasOther(jo, cho) && (cho.trial || in.hasRepeats(jo, 1) && in.payRepeat(jo)) {
-		jo.sent++
-		jo.arrived++
-		jo.afterTrial = cho.trial
-		return tried{answer: wire.Unknown(outcome.Deadline, "the upstream took too long"), paid: true}
+		end := in.ended(jo, cho, wire.Unknown(outcome.Deadline, "the upstream took too long"))
+		end.paid = true
+		return end
 	}
 	return in.ended(jo, cho, <-done)
 }
@@ -109,7 +108,7 @@
 		jo.sent++
 	}
 	if answer.Outcome != outcome.NotRun || answer.Reason == outcome.Shed {
-		jo.arrived++
+		jo.arrived = true
 		jo.afterTrial = cho.trial
 	}
 	return tried{answer: answer}
@@ -126,7 +125,7 @@
 	req := jo.run
 	req.Attempt = newAttempt()
 	req.Upstream = cho.end.Upstream.ID
-	req.Trial, req.Forced, req.Repeat, req.AfterTrial = cho.trial, cho.forced, jo.arrived > 0 && jo.pool.Quotes > 0, jo.afterTrial
+	req.Trial, req.Forced, req.Repeat, req.AfterTrial = cho.trial, cho.forced, jo.isRepeat(), jo.afterTrial
 	req.Remaining, req.TargetIn = jo.deadline.Sub(now)-answerMargin, jo.targetIn(now)
 	req.Baseline = in.tracker.baseline(now, in.siblings(jo.path.Service, cho.end.Key), req.Kind)
 	if req.Remaining <= 0 {
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cactusstream.example/core/budget"
 	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/pick"
 )
@@ -17,9 +18,6 @@
 	// upstream whose trial is due: bouts end after seconds, and capacity that is
 	// back should be known soon.
 	doubtTrialShare = 0.5
-	// trialReserve is what the retry budget must hold for such a trial: its own
-	// repeat, and one for a request that fails by chance.
-	trialReserve = 2
 	// heldWeight makes sick upstreams that the floor keeps in use get less work
 	// than well ones.
 	heldWeight = 0.3
@@ -120,7 +118,7 @@
 // mayTry says whether a request may try a doubtful endpoint: it may be repeated,
 // and the budget has a repeat for it.
 func (in *Ingress) mayTry(jo *job) bool {
-	return jo.policy.Idempotent && jo.sent == 0 && jo.policy.RetryAttempts >= 2 && in.hasRepeats(jo, trialReserve)
+	return jo.policy.Idempotent && jo.sent == 0 && jo.policy.RetryAttempts >= 2 && in.hasRepeats(jo, budget.TrialReserve)
 }
 
 func (in *Ingress) candidates(now time.Time, jo *job, ends []fleet.Endpoint) []pick.Candidate {
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -103,16 +103,20 @@
 	// keyed says that the caller chose the key, and so may send it again.
 	keyed    bool
 	attempts int
-	// sent counts the attempts that may have run at an upstream, and arrived those
-	// that reached one, also if it refused them.
-	sent    int
-	arrived int
-	// afterTrial says that the last of these was a trial.
+	// sent counts the attempts that may have run at an upstream.
+	sent int
+	// arrived says that an attempt has reached one, also if it refused it, and
+	// afterTrial that the last of these was a trial.
+	arrived    bool
 	afterTrial bool
 	// tried are the endpoints that attempts went to, for the log.
 	tried []string
 }
 
+// isRepeat says whether the next attempt needs a repeat from a gate's budget; gates
+// that don't quote keep none.
+func (jo *job) isRepeat() bool { return jo.arrived && jo.pool.Quotes > 0 }
+
 // targetIn returns what is left of the target of the request's kind.
 func (jo *job) targetIn(now time.Time) time.Duration {
 	return jo.began.Add(jo.policy.Target).Sub(now)
--- a/cactusd/internal/ingress/once.go
+++ b/cactusd/internal/ingress/once.go
@@ -22,7 +22,7 @@
 			return refusal
 		}
 		answer := in.tryUntilRun(ctx, jo)
-		in.throttle(jo).Note(in.opts.Clock.Now(), !isOverload(answer))
+		in.throttle(jo).Note(!isOverload(answer))
 		return answer
 	}
 	if !jo.keyed {
@@ -59,7 +59,7 @@
 		}
 	}
 	answer := in.tryUntilRun(ctx, jo)
-	in.throttle(jo).Note(in.opts.Clock.Now(), !isOverload(answer))
+	in.throttle(jo).Note(!isOverload(answer))
 	switch answer.Outcome {
 	case outcome.NotRun:
 		return in.release(jo, grant, answer)
--- a/cactusd/internal/ingress/quote.go
+++ b/cactusd/internal/ingress/quote.go
@@ -111,7 +111,7 @@
 	answers := make(chan quoted, len(sample))
 	for _, at := range sample {
 		go func() {
-			req := wire.QuoteRequest{Upstream: ends[at].Upstream.ID, Kind: jo.path.Kind, Rank: jo.policy.Rank, Idempotent: jo.policy.Idempotent, TargetIn: jo.targetIn(in.opts.Clock.Now()), Repeat: jo.arrived > 0, AfterTrial: jo.afterTrial}
+			req := wire.QuoteRequest{Upstream: ends[at].Upstream.ID, Kind: jo.path.Kind, Rank: jo.policy.Rank, Idempotent: jo.policy.Idempotent, TargetIn: jo.targetIn(in.opts.Clock.Now()), Repeat: jo.isRepeat(), AfterTrial: jo.afterTrial}
 			answer, err := in.opts.Runner.Quote(ctx, ends[at], req)
 			in.noteQuote(ends[at], answer, err)
 			answers <- quoted{at: at, answer: answer, err: err}
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/budget"
 	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/health"
 )
@@ -24,12 +25,10 @@
 	// doubtLife is how long a gate's word on doubt counts here; the next quote
 	// renews it.
 	doubtLife = 200 * time.Millisecond
-	// repeatsLife is how long a gate's word on its retry budget counts here, and
-	// unknownRepeats stands for it where none was heard.
-	repeatsLife    = 2 * time.Second
-	unknownRepeats = 2
-	minPathPause   = 500 * time.Millisecond
-	maxPathPause   = 8 * time.Second
+	// repeatsLife is how long a gate's word on its retry budget counts here.
+	repeatsLife  = 2 * time.Second
+	minPathPause = 500 * time.Millisecond
+	maxPathPause = 8 * time.Second
 )
 
 // tracker is what an ingress knows first-hand of endpoints and of the paths to
@@ -196,8 +195,8 @@
 }
 
 // repeats returns the most repeats that a gate of a pool had left when it was last
-// heard, of those whose upstream takes work. Before any was heard the budget is
-// taken to be whole.
+// heard, of those whose upstream takes work. Before any was heard there are taken
+// to be enough for a trial.
 func (tr *tracker) repeats(now time.Time, pool *fleet.Pool) int {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -210,7 +209,7 @@
 		most, known = max(most, track.repeats), true
 	}
 	if !known {
-		return unknownRepeats
+		return budget.TrialReserve
 	}
 	return most
 }
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -5,6 +5,13 @@
 //
 //	bud.Deposit(percent)      // for each request
 //	if bud.Withdraw() { ... } // for each further attempt
+//
+// A Budget is kept by a process that sends requests, a Ledger by one that takes
+// them for an upstream:
+//
+//	led.First(now, policy)                                  // a first attempt goes to the upstream
+//	if led.Take(now, policy, budget.Repeat{Rank: 1}) { ... } // a repeat may go there
+//	led.GiveBack(taken, policy)                             // it did not go
 package budget
 
 import (
--- a/core/budget/ledger.go
+++ b/core/budget/ledger.go
@@ -9,9 +9,9 @@
 const (
 	// cells is how many parts of its window a Ledger tells apart.
 	cells = 20
-	// trialReserve is how many repeats are kept for trials that fail: their own, and
+	// TrialReserve is how many repeats are kept for trials that fail: their own, and
 	// one for work that fails by chance.
-	trialReserve = 2
+	TrialReserve = 2
 	// urgentShare of the budget at most is kept for more urgent ranks, as much as
 	// they asked for lately: where upstreams refuse part of all work, less urgent
 	// work would use it up.
@@ -27,6 +27,8 @@
 	// Slack is how many repeats a window may have besides, of all upstreams of
 	// the service together.
 	Slack float64
+	// Peers is how many upstreams share the slack; 0 stands for one.
+	Peers int
 }
 
 // Ledger compares the first attempts and the repeats that reach one upstream.
@@ -78,21 +80,20 @@
 	}
 }
 
-// Left returns how many repeats the upstream may still get, when the service has
-// a number of upstreams.
-func (le *Ledger) Left(now time.Time, policy Policy, peers int) int {
-	return le.sum(now, policy, peers).left()
+// Left returns how many repeats the upstream may still get.
+func (le *Ledger) Left(now time.Time, policy Policy) int {
+	return le.sum(now, policy).left()
 }
 
 // May says whether the upstream may get a repeat.
-func (le *Ledger) May(now time.Time, policy Policy, peers int, rep Repeat) bool {
-	return le.sum(now, policy, peers).may(rep)
+func (le *Ledger) May(now time.Time, policy Policy, rep Repeat) bool {
+	return le.sum(now, policy).may(rep)
 }
 
 // Take notes a repeat, if the upstream may get it.
-func (le *Ledger) Take(now time.Time, policy Policy, peers int, rep Repeat) bool {
+func (le *Ledger) Take(now time.Time, policy Policy, rep Repeat) bool {
 	le.cell(now, policy).asked[rep.Rank]++
-	if !le.May(now, policy, peers, rep) {
+	if !le.May(now, policy, rep) {
 		return false
 	}
 	le.cell(now, policy).repeats++
@@ -117,16 +118,16 @@
 	}
 	kept := min(float64(urgent), urgentShare*to.allowed)
 	if !rep.AfterTrial {
-		kept += trialReserve
+		kept += TrialReserve
 	}
 	return float64(to.left())-kept >= 1
 }
 
 // sum adds up the cells of the window. The oldest, which is in it in part, counts
 // for repeats only.
-func (le *Ledger) sum(now time.Time, policy Policy, peers int) total {
+func (le *Ledger) sum(now time.Time, policy Policy) total {
 	current := le.cell(now, policy)
-	current.peers = max(current.peers, peers, 1)
+	current.peers = max(current.peers, policy.Peers)
 	var to total
 	firsts, most := 0, 1
 	for _, cel := range le.cells {
--- a/core/budget/ledger_test.go
+++ b/core/budget/ledger_test.go
@@ -1,9 +1,7 @@
 package budget_test
 
 import (
-	"encoding/json"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -11,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"cactusstream.example/core/budget"
+	"cactusstream.example/core/loadfile"
 )
 
 // afterTrial is a repeat for which nothing is kept back.
@@ -42,14 +41,14 @@
 // gives, a count of every arrival would give too.
 func TestLedgerGivesNoMoreThanTheNaiveCount(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		policy := budget.Policy{Window: 10 * time.Second, Percent: 20, Slack: float64(rapid.IntRange(0, 20).Draw(rt, "slack"))}
+		policy := budget.Policy{Window: 10 * time.Second, Percent: 20, Slack: float64(rapid.IntRange(0, 20).Draw(rt, "slack")), Peers: 3}
 		led := &budget.Ledger{}
 		now := time.Unix(1000, 0)
 		var arrivals []arrival
 		for range rapid.IntRange(0, 200).Draw(rt, "count") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "pause")) * time.Millisecond)
 			if rapid.Bool().Draw(rt, "repeat") {
-				if !led.Take(now, policy, 3, afterTrial) {
+				if !led.Take(now, policy, afterTrial) {
 					continue
 				}
 				if naiveLeft(arrivals, now, policy, 3) < 1 {
@@ -69,13 +68,13 @@
 	policy := budget.Policy{Window: 10 * time.Second, Slack: 2}
 	led := &budget.Ledger{}
 	now := time.Unix(1000, 0)
-	is.True(led.Take(now, policy, 1, afterTrial))
-	is.True(led.Take(now, policy, 1, afterTrial))
-	is.True(!led.Take(now.Add(9*time.Second), policy, 1, afterTrial))
-	is.Equal(led.Left(now.Add(11*time.Second), policy, 1), 2)
-	is.True(led.Take(now.Add(11*time.Second), policy, 1, afterTrial))
+	is.True(led.Take(now, policy, afterTrial))
+	is.True(led.Take(now, policy, afterTrial))
+	is.True(!led.Take(now.Add(9*time.Second), policy, afterTrial))
+	is.Equal(led.Left(now.Add(11*time.Second), policy), 2)
+	is.True(led.Take(now.Add(11*time.Second), policy, afterTrial))
 	led.GiveBack(now.Add(11*time.Second), policy)
-	is.Equal(led.Left(now.Add(12*time.Second), policy, 1), 2)
+	is.Equal(led.Left(now.Add(12*time.Second), policy), 2)
 }
 
 // TestLedgerKeepsItsPartWhilePeersComeBack cuts a fleet in two and joins it: a
@@ -85,9 +84,13 @@
 	policy := budget.Policy{Window: 10 * time.Second, Slack: 12}
 	led := &budget.Ledger{}
 	now := time.Unix(1000, 0)
-	is.Equal(led.Left(now, policy, 6), 2)
-	is.Equal(led.Left(now.Add(time.Second), policy, 3), 2) // The others were seen within the window.
-	is.Equal(led.Left(now.Add(20*time.Second), policy, 3), 4)
+	left := func(after time.Duration, peers int) int {
+		policy.Peers = peers
+		return led.Left(now.Add(after), policy)
+	}
+	is.Equal(left(0, 6), 2)
+	is.Equal(left(time.Second, 3), 2) // The others were seen within the window.
+	is.Equal(left(20*time.Second, 3), 4)
 }
 
 // boutLoad is testdata/bouts.json: upstreams that fail for a while, and work that
@@ -134,10 +137,8 @@
 // keep each for themselves and with ledgers at the upstreams.
 func TestRepeatsDuringBouts(t *testing.T) {
 	is := is.New(t)
-	data, err := os.ReadFile("testdata/bouts.json")
+	loads, err := loadfile.Read[map[string]boutLoad]("testdata/bouts.json")
 	is.NoErr(err)
-	var loads map[string]boutLoad
-	is.NoErr(json.Unmarshal(data, &loads))
 	for name, loa := range loads {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -149,11 +150,11 @@
 					buckets[daemon].Deposit(loa.RatioPercent)
 					buckets[daemon].DepositTime(now, perMinute)
 				})
-			policy := budget.Policy{Window: time.Duration(loa.WindowSeconds * float64(time.Second)), Percent: loa.RatioPercent, Slack: loa.Slack}
+			policy := budget.Policy{Window: time.Duration(loa.WindowSeconds * float64(time.Second)), Percent: loa.RatioPercent, Slack: loa.Slack, Peers: loa.Upstreams}
 			ledgers := make([]budget.Ledger, loa.Upstreams)
 			ours, oursOver := replayBouts(loa,
 				func(now time.Time, _, upstream int) bool {
-					return ledgers[upstream].Take(now, policy, loa.Upstreams, afterTrial)
+					return ledgers[upstream].Take(now, policy, afterTrial)
 				},
 				func(now time.Time, _, upstream int) { ledgers[upstream].First(now, policy) })
 			t.Logf("failed work that was repeated: ledgers %.3f, budgets of daemons %.3f; over the budget in the worst window: %.0f and %.0f", ours, naive, oursOver, naiveOver)
@@ -172,10 +173,10 @@
 	led := &budget.Ledger{}
 	now := time.Unix(1000, 0)
 	for range 4 {
-		is.True(led.Take(now, policy, 1, budget.Repeat{}))
+		is.True(led.Take(now, policy, budget.Repeat{}))
 	}
-	is.True(!led.Take(now, policy, 1, budget.Repeat{}))
-	is.True(led.Take(now, policy, 1, afterTrial)) // After a trial.
+	is.True(!led.Take(now, policy, budget.Repeat{}))
+	is.True(led.Take(now, policy, afterTrial)) // After a trial.
 }
 
 // TestUrgentWorkKeepsItsRepeats is the pattern of upstreams that refuse part of
@@ -191,10 +192,10 @@
 			led.First(now, policy)
 		}
 		for number := range 100 {
-			if number%urgentEvery == 0 && led.Take(now, policy, 1, budget.Repeat{Rank: 0}) {
+			if number%urgentEvery == 0 && led.Take(now, policy, budget.Repeat{Rank: 0}) {
 				urgent++
 			}
-			if led.Take(now, policy, 1, budget.Repeat{Rank: 1}) {
+			if led.Take(now, policy, budget.Repeat{Rank: 1}) {
 				other++
 			}
 		}
@@ -215,13 +216,13 @@
 	policy := budget.Policy{Window: 10 * time.Second, Slack: 2}
 	led := &budget.Ledger{}
 	taken := time.Unix(1000, 0)
-	is.True(led.Take(taken, policy, 1, afterTrial))
-	is.Equal(led.Left(taken.Add(8*time.Second), policy, 1), 1)
+	is.True(led.Take(taken, policy, afterTrial))
+	is.Equal(led.Left(taken.Add(8*time.Second), policy), 1)
 	led.GiveBack(taken, policy)
-	is.Equal(led.Left(taken.Add(8*time.Second), policy, 1), 2)
-	is.Equal(led.Left(taken.Add(12*time.Second), policy, 1), 2)
+	is.Equal(led.Left(taken.Add(8*time.Second), policy), 2)
+	is.Equal(led.Left(taken.Add(12*time.Second), policy), 2)
 	later := taken.Add(10500 * time.Millisecond) // The same cell, a window later.
-	is.True(led.Take(later, policy, 1, afterTrial))
+	is.True(led.Take(later, policy, afterTrial))
 	led.GiveBack(taken, policy) // Its cell is gone: nothing to give back.
-	is.Equal(led.Left(later, policy, 1), 1)
+	is.Equal(led.Left(later, policy), 1)
 }
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -1,15 +1,14 @@
 package health_test
 
 import (
-	"encoding/json"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"cactusstream.example/core/health"
+	"cactusstream.example/core/loadfile"
 )
 
 // scenario is one line of testdata/scenarios.json: how an upstream behaves
@@ -93,14 +92,10 @@
 // TestScenarios checks detection times, and that healthy, noisy and
 // overloaded upstreams are never convicted in an hour of work.
 func TestScenarios(t *testing.T) {
-	data, err := os.ReadFile("testdata/scenarios.json")
+	scenarios, err := loadfile.Read[[]scenario]("testdata/scenarios.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var scenarios []scenario
-	if err := json.Unmarshal(data, &scenarios); err != nil {
-		t.Fatal(err)
-	}
 	for _, sc := range scenarios {
 		for name, limit := range sc.MaxSeconds {
 			t.Run(sc.Name+"/"+name, func(t *testing.T) {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"math"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"cactusstream.example/core/loadfile"
 	"cactusstream.example/core/place"
 )
 
@@ -228,10 +227,8 @@
 // knows all waits.
 func TestManyDaemonsWithFewRequests(t *testing.T) {
 	is := is.New(t)
-	data, err := os.ReadFile("testdata/manyDaemons.json")
+	loads, err := loadfile.Read[map[string]load]("testdata/manyDaemons.json")
 	is.NoErr(err)
-	var loads map[string]load
-	is.NoErr(json.Unmarshal(data, &loads))
 	for name, loa := range loads {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -104,7 +104,7 @@
 
 // Add asks for a slot. With Wait, the item's Decided is called later.
 func (qu *Queue) Add(now time.Time, item *Item) Decision {
-	if !item.Deadline.After(now.Add(item.Need)) {
+	if item.isLost(now) {
 		return RefuseDeadline
 	}
 	if qu.running < qu.slots && qu.waiting == 0 {
@@ -151,7 +151,7 @@
 	qu.refuseLost(now)
 	for qu.running < qu.slots && qu.waiting > 0 {
 		item := qu.pop(now)
-		isLost := !item.Deadline.After(now.Add(item.Need))
+		isLost := item.isLost(now)
 		if item.isLate(now) {
 			qu.ranks[item.Rank].lost.note(now, isLost)
 		}
@@ -313,7 +313,7 @@
 func (qu *Queue) refuseLost(now time.Time) {
 	for rank := range qu.ranks {
 		state := &qu.ranks[rank]
-		for len(state.late) > 0 && !state.late[0].Deadline.After(now.Add(state.late[0].Need)) {
+		for len(state.late) > 0 && state.late[0].isLost(now) {
 			item := state.late[0]
 			qu.removeLate(rank, 0)
 			state.lost.note(now, true)
--- a/core/rankqueue/target_test.go
+++ b/core/rankqueue/target_test.go
@@ -1,14 +1,13 @@
 package rankqueue_test
 
 import (
-	"encoding/json"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cactusstream.example/core/loadfile"
 	"cactusstream.example/core/rankqueue"
 )
 
@@ -106,10 +105,8 @@
 // and without.
 func TestWorkThatMeetsItsTargetGoesFirst(t *testing.T) {
 	is := is.New(t)
-	data, err := os.ReadFile("testdata/targets.json")
+	loads, err := loadfile.Read[map[string]targetLoad]("testdata/targets.json")
 	is.NoErr(err)
-	var loads map[string]targetLoad
-	is.NoErr(json.Unmarshal(data, &loads))
 	for name, loa := range loads {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/core/rankqueue/wait.go
+++ b/core/rankqueue/wait.go
@@ -26,43 +26,43 @@
 	lossWeight = 0.3
 )
 
-// losses is the share of late work that got no slot lately.
-type losses struct {
-	share float64
+// fading is a value that decays exponentially from when it was set.
+type fading struct {
+	level float64
 	at    time.Time
 }
 
-func (lo *losses) note(now time.Time, isLost bool) {
-	lo.share, lo.at = lo.value(now)*(1-lossWeight), now
-	if isLost {
-		lo.share += lossWeight
+func (fa *fading) set(now time.Time, level float64) { fa.level, fa.at = level, now }
+
+// value returns what is left, when a window lowers it to 1/e.
+func (fa *fading) value(now time.Time, window time.Duration) float64 {
+	if fa.at.IsZero() {
+		return 0
 	}
+	return fa.level * math.Exp(-float64(max(now.Sub(fa.at), 0))/float64(window))
 }
 
-func (lo *losses) value(now time.Time) float64 {
-	if lo.at.IsZero() {
-		return 0
+// losses is the share of late work that got no slot lately.
+type losses struct{ share fading }
+
+func (lo *losses) note(now time.Time, isLost bool) {
+	share := lo.value(now) * (1 - lossWeight)
+	if isLost {
+		share += lossWeight
 	}
-	return lo.share * math.Exp(-float64(max(now.Sub(lo.at), 0))/float64(lossWindow))
+	lo.share.set(now, share)
 }
 
+func (lo *losses) value(now time.Time) float64 { return lo.share.value(now, lossWindow) }
+
 // demand is a moving average of the slots that admitted work asks for.
-type demand struct {
-	slots float64
-	at    time.Time
-}
+type demand struct{ slots fading }
 
 func (de *demand) add(now time.Time, need time.Duration) {
-	de.slots = de.value(now) + float64(need)/float64(demandWindow)
-	de.at = now
+	de.slots.set(now, de.value(now)+float64(need)/float64(demandWindow))
 }
 
-func (de *demand) value(now time.Time) float64 {
-	if de.at.IsZero() {
-		return 0
-	}
-	return de.slots * math.Exp(-float64(max(now.Sub(de.at), 0))/float64(demandWindow))
-}
+func (de *demand) value(now time.Time) float64 { return de.slots.value(now, demandWindow) }
 
 // Wait estimates how long an item would wait for a slot. Until some work has ended
 // it goes by what is usual: enough to choose another queue by, and not to refuse
@@ -76,6 +76,9 @@
 	return wait
 }
 
+// isLost says whether an item can't end before its deadline any more.
+func (it *Item) isLost(now time.Time) bool { return !it.Deadline.After(now.Add(it.Need)) }
+
 // isLate says whether an item can't meet its target any more.
 func (it *Item) isLate(now time.Time) bool {
 	return !it.Target.IsZero() && now.Add(it.Need).After(it.Target)
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -11,7 +11,7 @@
 // Usage:
 //
 //	if th.Refuses(now, rng) { /* answer notRun */ }
-//	th.Note(now, accepted)
+//	th.Note(accepted)
 package throttle
 
 import (
@@ -51,7 +51,7 @@
 }
 
 // Note tells whether upstreams took a request that was not refused here.
-func (th *Throttle) Note(_ time.Time, accepted bool) {
+func (th *Throttle) Note(accepted bool) {
 	th.mu.Lock()
 	defer th.mu.Unlock()
 	step := lower
--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -40,7 +40,7 @@
 			fl.taken++
 			taken++
 		}
-		fl.th.Note(fl.now, accepted)
+		fl.th.Note(accepted)
 	}
 	return sentOn / sent, taken / sent
 }
@@ -88,7 +88,7 @@
 			refused++
 			continue
 		}
-		fl.th.Note(fl.now, fl.rng.IntN(20) != 0)
+		fl.th.Note(fl.rng.IntN(20) != 0)
 	}
 	is.True(float64(refused) <= 0.02*float64(sent))
 }
