fix(link): a closing connection sends no more responses

Cause: Server.Close and Pool.Close cancelled the context of all handlers before they closed the connections, and a connection's writer chose at random between a queued response and the end. A handler that was cancelled could so report an error of its own for a call that may have run, and the caller took it for an answer instead of ErrLost.

Ruled out: the test. It asserts what the package promises.

Change: contexts of handlers end after their connection. The writer sends nothing once the connection has ended. A server that is closed accepts no connection, and a dial to a peer that was forgotten meanwhile closes its connection (both were left open without an owner). The response to a handshake is limited to 16 KB of header.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -73,9 +73,11 @@
 	}
 }
 
-// run serves the connection until it ends.
-func (co *conn) run(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+// run serves the connection until close is called or the peer ends it. The contexts of
+// the calls that it serves end with it, and not before: a handler whose context ends
+// while the connection is open would report an error for a call that may have run.
+func (co *conn) run() {
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go co.writeFrames()
 	go co.keepAlive(ctx)
@@ -148,7 +150,8 @@
 	return true
 }
 
-// close closes the connection and cancels the calls that it serves.
+// close closes the connection and then cancels the calls that it serves. Nothing that
+// their handlers return is sent any more, so the peer knows that they may have run.
 func (co *conn) close() {
 	co.mu.Lock()
 	alreadyEnded := co.ended
@@ -348,6 +351,9 @@
 	for {
 		select {
 		case out := <-co.sendQueue:
+			if co.isClosed() {
+				return
+			}
 			if out.state != nil && !out.state.CompareAndSwap(int32(stateQueued), int32(stateSent)) {
 				continue
 			}
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -349,3 +349,50 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc + stats.StackInuse)
 }
+
+// TestForgottenPeerLeavesNoConnection forgets a peer while the dial to it is in
+// progress. The connection has no owner any more and must be closed.
+func TestForgottenPeerLeavesNoConnection(t *testing.T) {
+	is := is.New(t)
+	tokens := newTokens(t)
+	dialed, proceed, closed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		close(dialed)
+		<-proceed
+		con, err := websocket.Accept(wr, req, nil)
+		if err != nil {
+			return
+		}
+		_, _, _ = con.Read(context.Background())
+		close(closed)
+	}))
+	defer srv.CloseClientConnections()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	pool := link.NewPool("test", tokens, link.NewMux())
+	defer pool.Close()
+	result := make(chan error, 1)
+	go func() {
+		_, err := link.Call[echo, echo](context.Background(), pool, address, "echo", echo{})
+		result <- err
+	}()
+	<-dialed
+	pool.Forget(address)
+	close(proceed)
+	is.True(errors.Is(<-result, link.ErrNotSent))
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection to the forgotten peer is still open")
+	}
+}
+
+// TestClosedServerAcceptsNoConnections connects to a server that was closed. No
+// handler may run.
+func TestClosedServerAcceptsNoConnections(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t)
+	fi.server.Close()
+	_, err := fi.call(context.Background(), echo{})
+	is.True(err != nil)
+	is.Equal(fi.received.Load(), int64(0))
+}
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -23,6 +23,8 @@
 	// redialDelay is the minimum time between a failed dial and the next one.
 	redialDelay = 100 * time.Millisecond
 	peerHeader  = "Cactus-Peer"
+	// maxHandshakeBytes limits the header of the response to a handshake, in bytes.
+	maxHandshakeBytes = 16 << 10
 )
 
 // Pool holds one connection to each peer that this process calls.
@@ -59,6 +61,9 @@
 	dialing     chan struct{}
 	lastFailure time.Time
 	lastErr     error
+	// closed is set when the pool no longer holds the peer, so that a dial in progress
+	// closes its connection instead of leaving it open with no owner.
+	closed bool
 }
 
 // NewPool returns a Pool that identifies itself to peers as self. The mux handles
@@ -69,7 +74,7 @@
 		self:    self,
 		tokens:  tokens,
 		mux:     mux,
-		client:  &http.Client{Transport: &http.Transport{}},
+		client:  newHTTPClient(nil),
 		scheme:  "ws",
 		baseCtx: ctx,
 		cancel:  cancel,
@@ -81,11 +86,16 @@
 	return po
 }
 
+// newHTTPClient returns the client that performs the handshakes. cfg may be nil.
+func newHTTPClient(cfg *tls.Config) *http.Client {
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: cfg, MaxResponseHeaderBytes: maxHandshakeBytes}}
+}
+
 // WithTLS makes the Pool dial with TLS, unless cfg is nil.
 func WithTLS(cfg *tls.Config) PoolOption {
 	return func(po *Pool) {
 		if cfg != nil {
-			po.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}
+			po.client = newHTTPClient(cfg)
 			po.scheme = "wss"
 		}
 	}
@@ -99,11 +109,7 @@
 	po.peers = make(map[string]*peerConn)
 	po.mu.Unlock()
 	for _, pc := range peers {
-		pc.mu.Lock()
-		if pc.con != nil {
-			pc.con.close()
-		}
-		pc.mu.Unlock()
+		pc.close()
 	}
 }
 
@@ -114,13 +120,8 @@
 	pc := po.peers[address]
 	delete(po.peers, address)
 	po.mu.Unlock()
-	if pc == nil {
-		return
-	}
-	pc.mu.Lock()
-	defer pc.mu.Unlock()
-	if pc.con != nil {
-		pc.con.close()
+	if pc != nil {
+		pc.close()
 	}
 }
 
@@ -189,6 +190,10 @@
 	con, err := po.dial(address)
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
+	if con != nil && pc.closed {
+		con.close()
+		con, err = nil, ErrClosed
+	}
 	pc.con, pc.lastErr = con, err
 	if err != nil {
 		pc.lastFailure = time.Now()
@@ -212,10 +217,19 @@
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	con := newConn(address, ws, po.mux)
-	go con.run(po.baseCtx)
+	go con.run()
 	return con, nil
 }
 
+func (pc *peerConn) close() {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.closed = true
+	if pc.con != nil {
+		pc.con.close()
+	}
+}
+
 func (pc *peerConn) status(address string) Status {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
--- a/core/link/server.go
+++ b/core/link/server.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"context"
 	"net/http"
 	"sync"
 
@@ -15,25 +14,24 @@
 	mux            *Mux
 	tokens         *auth.Tokens
 	onUnauthorized func(*http.Request)
-	baseCtx        context.Context
-	cancel         context.CancelFunc
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	closed bool
+	conns  map[*conn]struct{}
 }
 
 // NewServer returns a Server. It calls onUnauthorized for each request without valid
 // credentials.
 func NewServer(mux *Mux, tokens *auth.Tokens, onUnauthorized func(*http.Request)) *Server {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{mux: mux, tokens: tokens, onUnauthorized: onUnauthorized, baseCtx: ctx, cancel: cancel, conns: make(map[*conn]struct{})}
+	return &Server{mux: mux, tokens: tokens, onUnauthorized: onUnauthorized, conns: make(map[*conn]struct{})}
 }
 
-// Close closes every accepted connection.
+// Close closes every accepted connection. Those that are accepted later are closed at
+// once.
 func (se *Server) Close() {
-	se.cancel()
 	se.mu.Lock()
 	defer se.mu.Unlock()
+	se.closed = true
 	for con := range se.conns {
 		con.close()
 	}
@@ -51,13 +49,27 @@
 		return
 	}
 	con := newConn(req.Header.Get(peerHeader), ws, se.mux)
+	if !se.add(con) {
+		con.close()
+		return
+	}
+	defer se.remove(con)
+	con.run()
+}
+
+// add registers a connection and returns false if the server is closed.
+func (se *Server) add(con *conn) bool {
 	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.closed {
+		return false
+	}
 	se.conns[con] = struct{}{}
-	se.mu.Unlock()
-	defer func() {
-		se.mu.Lock()
-		delete(se.conns, con)
-		se.mu.Unlock()
-	}()
-	con.run(se.baseCtx)
+	return true
+}
+
+func (se *Server) remove(con *conn) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	delete(se.conns, con)
 }
