fix(gate): responses without end are closed, with bounded memory

Cause: http.ReadResponse limits neither the head nor what comes before it, the limit for a body was the 64 MB of the platform's settings, and closing a body that was too large read the rest, which may have no end. One upstream took its daemon from 21 to 407 MB (seen on make demo).

Ruled out: limits of the connection's reader alone. They don't bound what several bodies hold at once.

Change: a head may have 64 KB; a body that is refused is not read on, its connection closes. core/bodybuffer counts the bodies of requests and responses that a daemon holds: 16 MB together, and those beyond it fail (a request with notRun, which is true, a response with unknown). A body that doesn't fit into a frame of the links (7.75 MB) is refused at the door: before, its frame closed the link with all calls on it.

Not done: bodies are still read whole at both ends; they don't stream.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"cactusstream.example/cactusd/internal/ingress"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/auth"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
@@ -57,6 +58,9 @@
 	// that of ingress.Ingress.RemoveDeparted.
 	gateTickInterval       = 100 * time.Millisecond
 	removeDepartedInterval = 30 * time.Second
+	// maxBodyMemory limits the bodies of requests and responses that a daemon holds,
+	// in bytes: half of the 32 MB that a daemon may use (docs/CAPACITY.md).
+	maxBodyMemory = 16 << 20
 )
 
 // withdrawMargins are the times before the deadline of a shutdown at which
@@ -133,9 +137,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	da.gate = gate.New(gate.Options{Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
+	bodies := bodybuffer.New(maxBodyMemory)
+	da.gate = gate.New(gate.Options{Bodies: bodies, Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
 	ingressOpts := ingress.Options{
-		Clock: opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
+		Bodies: bodies,
+		Clock:  opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
 		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
 		Services: opts.ServiceTokens, View: da.fleet.View, Zone: opts.Config.Zone,
 	}
--- a/cactusd/internal/gate/connection.go
+++ b/cactusd/internal/gate/connection.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -25,12 +26,19 @@
 	// so that no request is sent while the upstream closes the connection.
 	keepAliveMargin = time.Second
 	readBufferSize  = 4 << 10
+	// maxHeadBytes limits the status line and the headers of a response, in bytes.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLarge reports a response whose status line and headers do not end within
+// maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("the head of the response is larger than %d bytes", maxHeadBytes)
+
 // connection is a connection to an upstream. It serves one request at a time.
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimit
 	// idleSince is when the last response was complete, and idleTimeout how
 	// long the connection may stay idle after it.
 	idleSince   time.Time
@@ -105,7 +113,36 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial upstream: %w", err)
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultKeepAlive}, nil
+	head := &headLimit{source: raw}
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head, idleTimeout: defaultKeepAlive}, nil
+}
+
+// headLimit limits the bytes that are read while the head of a response is parsed. The
+// parser of net/http has no limit of its own, and an upstream may send a head without
+// end.
+type headLimit struct {
+	source io.Reader
+	// parsing is set while a head is parsed, and left counts the bytes that it may
+	// still have.
+	parsing bool
+	left    int
+}
+
+func (he *headLimit) begin() { he.parsing, he.left = true, maxHeadBytes }
+
+func (he *headLimit) end() { he.parsing = false }
+
+// Read reads from the connection.
+func (he *headLimit) Read(data []byte) (int, error) {
+	if !he.parsing {
+		return he.source.Read(data)
+	}
+	if he.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	count, err := he.source.Read(data[:min(len(data), he.left)])
+	he.left -= count
+	return count, err
 }
 
 // isReusable reports whether an idle connection is open and has no unread
--- a/cactusd/internal/gate/connection_test.go
+++ b/cactusd/internal/gate/connection_test.go
@@ -17,6 +17,7 @@
 
 	"cactusstream.example/cactusd/internal/gate"
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
@@ -34,7 +35,8 @@
 
 func newPlatformGate(policy *settings.Policy, lastCallFailure func() time.Time) *gate.Gate {
 	return gate.New(gate.Options{
-		Clock: clock.Real{}, Dialect: platformDialect(), Log: events.Discard(), Metrics: metrics.NewRegistry(), LastCallFailure: lastCallFailure,
+		Bodies: bodybuffer.New(testBodyMemory),
+		Clock:  clock.Real{}, Dialect: platformDialect(), Log: events.Discard(), Metrics: metrics.NewRegistry(), LastCallFailure: lastCallFailure,
 		Policy: func(string) *settings.Policy { return policy }, OnChange: func() {},
 	})
 }
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -25,6 +25,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
@@ -57,6 +58,8 @@
 
 // Options configures a Gate.
 type Options struct {
+	// Bodies holds the bodies of responses until Run has returned them.
+	Bodies  *bodybuffer.Buffer
 	Clock   clock.Clock
 	Dialect dialect.Upstream
 	Log     *events.Logger
@@ -171,7 +174,9 @@
 	if !ok {
 		return wire.NotRun(outcome.NoUpstream, "the upstream has left")
 	}
-	return gu.run(ctx, req)
+	answer := gu.run(ctx, req)
+	ga.opts.Bodies.Release(answer.Body)
+	return answer
 }
 
 // Stop rejects new requests. It returns when no request is in flight, or with
--- a/cactusd/internal/gate/gate_test.go
+++ b/cactusd/internal/gate/gate_test.go
@@ -19,6 +19,7 @@
 
 	"cactusstream.example/cactusd/internal/gate"
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
@@ -27,10 +28,14 @@
 	"cactusstream.example/core/settings"
 )
 
+// testBodyMemory is the limit for the bodies that a gate holds in the tests, in bytes.
+const testBodyMemory = 8 << 20
+
 func newGate(clo clock.Clock) *gate.Gate {
 	policy := settings.NewResolver(settings.NewTree()).Policy(settings.Path{})
 	return gate.New(gate.Options{
-		Clock: clo, Dialect: dialect.DefaultUpstream(), Log: events.Discard(), Metrics: metrics.NewRegistry(),
+		Bodies: bodybuffer.New(testBodyMemory),
+		Clock:  clo, Dialect: dialect.DefaultUpstream(), Log: events.Discard(), Metrics: metrics.NewRegistry(),
 		Policy: func(string) *settings.Policy { return policy }, OnChange: func() {},
 	})
 }
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -68,7 +68,7 @@
 	return &guard{
 		ann:         ann,
 		opts:        opts,
-		client:      newUpstreamClient(ann, opts.Dialect),
+		client:      newUpstreamClient(ann, opts.Dialect, opts.Bodies),
 		queue:       rankqueue.New(ann.concurrency(), queuePolicy(policy)),
 		detector:    health.NewDetector(healthPolicy(policy)),
 		burstFilter: failureburst.NewFilter(burstPolicy(policy)),
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/outcome"
 )
@@ -36,6 +37,7 @@
 	id      string
 	dialect dialect.Upstream
 	pool    *connPool
+	bodies  *bodybuffer.Buffer
 }
 
 // sendResult holds what the outcome of an attempt implies for the upstream's
@@ -58,8 +60,8 @@
 	errUnframedResponse = errors.New("the response has neither a Content-Length nor chunked encoding, so a truncated body cannot be detected")
 )
 
-func newUpstreamClient(ann Announcement, dia dialect.Upstream) *upstreamClient {
-	return &upstreamClient{id: ann.ID, dialect: dia, pool: &connPool{address: ann.Address, maxIdleConns: ann.concurrency()}}
+func newUpstreamClient(ann Announcement, dia dialect.Upstream, bodies *bodybuffer.Buffer) *upstreamClient {
+	return &upstreamClient{id: ann.ID, dialect: dia, bodies: bodies, pool: &connPool{address: ann.Address, maxIdleConns: ann.concurrency()}}
 }
 
 // send sends one attempt to the upstream. The caller holds the slot.
@@ -181,9 +183,14 @@
 // readResponse returns the complete response to this attempt. It skips
 // informational responses and late responses to earlier attempts on the
 // connection.
+//
+// The caller closes the connection after an error. The body is then left as it is,
+// since closing it would read the rest, which may have no end.
 func (ex *exchange) readResponse() (*http.Response, []byte, error) {
 	for range maxResponses {
+		ex.con.head.begin()
 		resp, err := http.ReadResponse(ex.con.reader, ex.hreq)
+		ex.con.head.end()
 		if err != nil {
 			return nil, nil, fmt.Errorf("read response: %w", err)
 		}
@@ -191,18 +198,20 @@
 			continue
 		}
 		body, err := ex.readBody(resp)
-		_ = resp.Body.Close()
 		echoed := resp.Header.Get(ex.client.dialect.Attempt)
-		if echoed != "" && echoed != ex.attempt {
-			ex.sawStale = true
-			if err != nil {
-				return nil, nil, fmt.Errorf("%w: %w", errStaleResponse, err)
-			}
-			continue
+		isStale := echoed != "" && echoed != ex.attempt
+		if err != nil && isStale {
+			return nil, nil, fmt.Errorf("%w: %w", errStaleResponse, err)
 		}
 		if err != nil {
 			return nil, nil, err
 		}
+		_ = resp.Body.Close()
+		if isStale {
+			ex.sawStale = true
+			ex.client.bodies.Release(body)
+			continue
+		}
 		ex.con.setKeepAlive(resp.Header.Get("Keep-Alive"))
 		ex.reusable = !resp.Close && echoed != "" && !ex.sawStale && ex.con.reader.Buffered() == 0
 		return resp, body, nil
@@ -218,13 +227,10 @@
 	if !isFramed && !ex.client.dialect.AllowsCloseDelimited {
 		return nil, errUnframedResponse
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(ex.req.BodyLimit)+1))
+	body, err := ex.client.bodies.Read(resp.Body, min(ex.req.BodyLimit, wire.MaxBody))
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	if len(body) > ex.req.BodyLimit {
-		return nil, fmt.Errorf("the response is larger than %d bytes", ex.req.BodyLimit)
-	}
 	return body, nil
 }
 
@@ -254,6 +260,7 @@
 		delete(header, name)
 	}
 	if up.reportsNotRun(resp) {
+		up.bodies.Release(body)
 		misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 		return wire.NotRun(outcome.UpstreamRejected, "the upstream rejected the request"), sendResult{rejected: !misdirected, misdirected: misdirected}
 	}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -15,7 +15,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -28,6 +27,7 @@
 
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/auth"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/budget"
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/clock"
@@ -59,6 +59,8 @@
 
 // Options configures an Ingress.
 type Options struct {
+	// Bodies holds the bodies of requests until the requests have ended.
+	Bodies *bodybuffer.Buffer
 	// Claims is nil where callers never send a request twice.
 	Claims   Claims
 	Clock    clock.Clock
@@ -175,6 +177,7 @@
 		wr.Header().Set("Connection", "close")
 	}
 	req, rejection := in.newRequest(wr, httpReq, started)
+	defer func() { in.opts.Bodies.Release(req.runRequest.Body) }()
 	if rejection != nil {
 		in.write(wr, req, *rejection)
 		return
@@ -229,12 +232,13 @@
 		return req, req.reject(outcome.BadRequest, err.Error())
 	}
 	req.deadline = now.Add(limit)
-	body, err := io.ReadAll(http.MaxBytesReader(wr, httpReq.Body, int64(req.policy.BodyLimit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return req, req.reject(outcome.BodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", req.policy.BodyLimit))
-	}
-	if err != nil {
+	body, err := in.readBody(wr, httpReq, min(req.policy.BodyLimit, wire.MaxBody))
+	switch {
+	case errors.Is(err, bodybuffer.ErrTooLarge):
+		return req, req.reject(outcome.BodyTooLarge, err.Error())
+	case errors.Is(err, bodybuffer.ErrFull):
+		return req, req.reject(outcome.Overloaded, err.Error())
+	case err != nil:
 		return req, req.reject(outcome.BadRequest, "the body could not be read")
 	}
 	req.runRequest = wire.RunRequest{
@@ -245,6 +249,22 @@
 	return req, nil
 }
 
+// readBody reads the body of a request. If it refuses the body, the connection closes
+// after the response, so that the rest is not read.
+func (in *Ingress) readBody(wr http.ResponseWriter, httpReq *http.Request, limit int) ([]byte, error) {
+	// MaxBytesReader also makes the server close the connection instead of reading on.
+	reader := http.MaxBytesReader(wr, httpReq.Body, int64(limit))
+	body, err := in.opts.Bodies.Read(reader, limit)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fmt.Errorf("%w of %d bytes", bodybuffer.ErrTooLarge, limit)
+	}
+	if err != nil {
+		wr.Header().Set("Connection", "close")
+	}
+	return body, err
+}
+
 // awaitSettings returns the settings in force. If there are none yet, it waits
 // up to startupTimeout for them.
 func (in *Ingress) awaitSettings(ctx context.Context) *settingsync.Active {
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -18,6 +18,7 @@
 	"cactusstream.example/cactusd/internal/ingress"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/auth"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
@@ -149,6 +150,7 @@
 	view := &fleet.View{Pools: map[string]*fleet.Pool{"s": pool}}
 	fi := &fixture{runner: &fakeRunner{answers: answers}, claims: &fakeClaims{grant: claim.Grant{Result: claim.Won}, releasable: true}}
 	fi.in = ingress.New(ingress.Options{
+		Bodies:  bodybuffer.New(16 << 20),
 		Dialect: dialect.DefaultCaller(),
 		Claims:  fi.claims, Clock: clock.Real{}, Firm: "f", Place: "p", Replica: replica, Log: events.Discard(), Metrics: metrics.NewRegistry(),
 		Runner: fi.runner, Services: tokens, View: func() *fleet.View { return view }, Zone: "z",
--- a/cactusd/internal/ingress/platform_dialect_test.go
+++ b/cactusd/internal/ingress/platform_dialect_test.go
@@ -15,6 +15,7 @@
 
 	"cactusstream.example/cactusd/internal/ingress"
 	"cactusstream.example/cactusd/internal/wire"
+	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
 	"cactusstream.example/core/events"
@@ -81,6 +82,7 @@
 	}
 	view := &fleet.View{Pools: map[string]*fleet.Pool{"s": pool}, Daemons: 1}
 	return ingress.New(ingress.Options{
+		Bodies:  bodybuffer.New(16 << 20),
 		Dialect: dialect.Caller{Deadline: "X-Left", Request: "X-Id", Origin: "X-From", OriginService: "own", OmitsDetails: true, StrictRejections: true},
 		Clock:   clock.Real{}, Firm: "*", Place: "*", Replica: replica, Log: events.Discard(), Metrics: metrics.NewRegistry(),
 		Runner: runner, View: func() *fleet.View { return view }, Zone: "z",
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -11,9 +11,17 @@
 	"time"
 
 	"cactusstream.example/core/health"
+	"cactusstream.example/core/link"
 	"cactusstream.example/core/outcome"
 )
 
+// MaxBody limits the body of a request or a response, in bytes: it travels in one frame,
+// with the headers.
+const MaxBody = link.MaxFrameSize - maxFrameHeaders
+
+// maxFrameHeaders is the part of a frame that is left for the headers, in bytes.
+const maxFrameHeaders = 256 << 10
+
 // MethodRun is the link method that asks a gate to run a request.
 const MethodRun = "gate.run"
 
