--- a/core/link/link.go
+++ b/core/link/link.go
@@ -46,7 +46,7 @@
 	pingInterval      = 1 * time.Second
 	pingTimeout       = 2 * time.Second
 	// sendQueueLength is the capacity of a connection's send queue, in frames.
-	sendQueueLength = 1024
+	sendQueueLength = 128
 )
 
 // ErrClosed reports that the whole connection was lost, not just one call.
