fix(process): a planned stop answers requests on accepted connections

Ruled out: the refusal of new connections. The cut connections had been accepted.

Open: a request that arrives on an idle kept connection at the very moment of the close.

--- a/core/process/listener.go
+++ b/core/process/listener.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// acceptGrace is the time allowed for queued connections to be accepted, and
-// then for net/http to register the last of them before its shutdown begins.
+// acceptGrace is the time allowed for queued connections to be accepted.
 const acceptGrace = 50 * time.Millisecond
 
 // drain closes a listener without resetting connections: it refuses new
@@ -16,5 +15,4 @@
 	_ = refuseNewConnections(lis) // If this fails, Close resets the connections in the accept queue.
 	time.Sleep(acceptGrace)
 	_ = lis.Close()
-	time.Sleep(acceptGrace)
 }
--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -106,3 +106,57 @@
 		group.Wait()
 	}
 }
+
+// TestShutdownAnswersAcceptedConnections shuts down while connections were accepted
+// whose first request has not been read: not sent, sent in part, or not registered by
+// net/http yet, as on a busy VM. Each request must be answered.
+func TestShutdownAnswersAcceptedConnections(t *testing.T) {
+	cases := []struct{ name, before, after string }{
+		{"nothing sent", "", "GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"half of the head sent", "GET / HTTP/1.1\r\nHo", "st: x\r\n\r\n"},
+		{"half of the body sent", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab", "cd"},
+		{"all sent, not registered", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			srv := NewServer("127.77.0.201:18080", http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+				_, _ = io.Copy(io.Discard, req.Body)
+				writeCompleteBody(wr, req)
+			}), nil)
+			accepted, proceed := make(chan struct{}), make(chan struct{})
+			track := srv.http.ConnState
+			srv.http.ConnState = func(con net.Conn, state http.ConnState) {
+				track(con, state)
+				if state == http.StateNew {
+					close(accepted)
+					<-proceed
+				}
+			}
+			is.NoErr(srv.Start())
+			con, err := net.Dial("tcp", srv.address)
+			is.NoErr(err)
+			defer func() { _ = con.Close() }()
+			_, err = io.WriteString(con, tc.before)
+			is.NoErr(err)
+			<-accepted
+			if tc.after != "" {
+				close(proceed)
+			}
+			stopped := make(chan error, 1)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			go func() { stopped <- srv.Shutdown(ctx) }()
+			time.Sleep(4 * acceptGrace)
+			if tc.after == "" {
+				close(proceed)
+			}
+			_, err = io.WriteString(con, tc.after)
+			is.NoErr(err)
+			response, err := io.ReadAll(con) // The server closes the connection after the response.
+			is.NoErr(err)
+			is.True(strings.HasSuffix(string(response), "complete"))
+			is.NoErr(<-stopped)
+		})
+	}
+}
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,6 +82,10 @@
 	address  string
 	http     *http.Server
 	listener *net.TCPListener
+	// served is closed when the server accepts no more connections.
+	served   chan struct{}
+	conns    *connTracker
+	draining atomic.Bool
 }
 
 // Error returns the text of the wrapped error.
@@ -164,13 +169,27 @@
 
 // NewServer returns a Server. A nil TLS configuration means plain HTTP.
 func NewServer(address string, handler http.Handler, cfg *tls.Config) *Server {
-	return &Server{address: address, http: &http.Server{
-		Handler:           handler,
+	se := &Server{address: address, conns: newConnTracker()}
+	se.http = &http.Server{
+		Handler:           se.closeWhileDraining(handler),
+		ConnState:         se.conns.setState,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		TLSConfig:         cfg,
-	}}
+	}
+	return se
+}
+
+// closeWhileDraining makes the responses of a server that is shutting down end their
+// connections.
+func (se *Server) closeWhileDraining(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		if se.draining.Load() {
+			wr.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(wr, req)
+	})
 }
 
 // Close closes the listener and all connections immediately.
@@ -181,8 +200,17 @@
 // Shutdown drains and closes the listener, and waits until all requests have been
 // answered or the context ends.
 func (se *Server) Shutdown(ctx context.Context) error {
+	se.draining.Store(true)
 	if se.listener != nil {
 		drain(se.listener)
+		// Every accepted connection is known only once Serve has returned.
+		select {
+		case <-se.served:
+		case <-ctx.Done():
+		}
+		// Once its Shutdown has begun, net/http closes a connection without a response
+		// when it has read a request from it.
+		se.conns.waitIdle(ctx)
 	}
 	if err := se.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down server on %s: %w", se.address, err)
@@ -200,7 +228,11 @@
 	if se.http.TLSConfig != nil {
 		lis = tls.NewListener(lis, se.http.TLSConfig)
 	}
-	go func() { _ = se.http.Serve(lis) }()
+	se.served = make(chan struct{})
+	go func() {
+		defer close(se.served)
+		_ = se.http.Serve(lis)
+	}()
 	return nil
 }
 
