perf(fleet): tables compared by buckets, settings from the own zone

Cause: two tables that differed in one record exchanged a summary of all records, 2 times 16 KB at 354 members; a daemon that started fetched the table from three seeds; synchronization and the long polls for settings crossed zones at random. Settings confirmed at 3.716 s were not in force at 5.771 s.

Ruled out: the keepers; others had the version within milliseconds.

Change: digests of 128 buckets, then summaries and records of those that differ. One seed at a time. Two of three rounds stay in the zone, as do the long polls while the zone has a keeper. A peer with newer settings is drawn at random, reachable ones of the own zone first; one that does not respond within 0.4 s is not waited for. Backoff to keepers ends at 1 s.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -11,6 +11,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"errors"
@@ -257,18 +258,34 @@
 	return !da.stopping.Load() && da.replica.Current().Version > 0
 }
 
-// keepers returns the keepers from the options, followed by others that the
-// fleet reports.
+// keepers returns the keepers from the options and others that the fleet reports. Those
+// of this daemon's zone come first; the order of the others differs from daemon to daemon.
 func (da *Daemon) keepers() []string {
 	keepers := slices.Clone(da.opts.Keepers)
-	for _, address := range da.fleet.View().Keepers {
+	view := da.fleet.View()
+	for _, address := range view.Keepers {
 		if !slices.Contains(keepers, address) {
 			keepers = append(keepers, address)
 		}
 	}
+	if len(keepers) > 0 {
+		first := int(da.started.UnixNano() % int64(len(keepers)))
+		keepers = append(keepers[first:], keepers[:first]...)
+	}
+	slices.SortStableFunc(keepers, func(a, b string) int {
+		return cmp.Compare(da.zoneRank(view, a), da.zoneRank(view, b))
+	})
 	return keepers
 }
 
+// zoneRank returns 0 for the address of a keeper in this daemon's zone, and else 1.
+func (da *Daemon) zoneRank(view *fleet.View, address string) int {
+	if view.KeeperZones[address] == da.opts.Config.Zone {
+		return 0
+	}
+	return 1
+}
+
 // publishUpstreams updates this daemon's upstreams in the member table.
 func (da *Daemon) publishUpstreams() {
 	da.fleet.SetUpstreams(da.gate.Records())
--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -13,7 +13,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -28,9 +27,14 @@
 const (
 	startTimeout     = time.Second
 	minBackoff       = 200 * time.Millisecond
-	maxBackoff       = 5 * time.Second
+	maxBackoff       = time.Second
 	peerPollInterval = 300 * time.Millisecond
 	pullTimeout      = 5 * time.Second
+	// A peer that does not respond for hedgeDelay is not waited for: another one is
+	// asked as well, up to maxPeerPulls at a time. Settings have to be in force
+	// everywhere within 2 s, but large ones take longer than hedgeDelay on a slow link.
+	hedgeDelay   = 400 * time.Millisecond
+	maxPeerPulls = 3
 	// watchDuration is the duration of one long poll. A keeper that is
 	// partitioned from the others rejects the next poll, so this limits how
 	// long a daemon misses changes. It is well under the 2 s that a platform
@@ -38,13 +42,16 @@
 	watchDuration = 800 * time.Millisecond
 	// watchMargin is added to watchDuration for the timeout of a long poll.
 	watchMargin = 700 * time.Millisecond
+	// preferInterval is how long a daemon stays with another keeper before it tries
+	// its preferred one again.
+	preferInterval = 30 * time.Second
 )
 
 // Options configures a Follower.
 type Options struct {
 	Replica *settingsync.Replica
-	// Keepers returns the peer addresses of the known keepers, and Seeds those
-	// of daemons to ask at the start.
+	// Keepers returns the peer addresses of the known keepers, those to prefer first,
+	// and Seeds those of daemons to ask at the start.
 	Keepers func() []string
 	Seeds   func() []string
 	Log     *events.Logger
@@ -85,21 +92,47 @@
 		fo.Start(ctx)
 		fo.sleep(ctx, minBackoff)
 	}
+	fo.watchPeers(ctx)
+}
+
+// watchPeers fetches from peers with newer settings until the context ends.
+func (fo *Follower) watchPeers(ctx context.Context) {
+	pulls := make(chan struct{}, maxPeerPulls)
 	for ctx.Err() == nil {
 		fo.sleep(ctx, peerPollInterval)
-		if address := fo.opts.PeerWithNewerSettings(fo.opts.Replica.Current().Version); address != "" {
-			_ = fo.pull(ctx, address, 0)
+		address := fo.opts.PeerWithNewerSettings(fo.opts.Replica.Current().Version)
+		if address == "" {
+			continue
+		}
+		select {
+		case pulls <- struct{}{}:
+		default:
+			continue
+		}
+		done := make(chan struct{})
+		go func() {
+			defer func() { close(done); <-pulls }()
+			_ = fo.pull(ctx, address, 0) // Logged there; another peer is asked next.
+		}()
+		select {
+		case <-done:
+		case <-time.After(hedgeDelay):
+		case <-ctx.Done():
 		}
 	}
 }
 
 // watchKeepers long-polls a keeper, so that changes arrive without delay. It
-// starts with a random keeper, which distributes the daemons over the keepers,
-// and moves to the next one after an error.
+// starts with the first one and moves to the next one after an error; after
+// preferInterval it returns to the first.
 func (fo *Follower) watchKeepers(ctx context.Context) {
-	index := rand.IntN(math.MaxInt32)
+	index := 0
 	backoff := minBackoff
+	startedAt := time.Now()
 	for ctx.Err() == nil {
+		if index > 0 && time.Since(startedAt) > preferInterval {
+			index, startedAt = 0, time.Now()
+		}
 		if keepers := fo.opts.Keepers(); len(keepers) > 0 {
 			if err := fo.pull(ctx, keepers[index%len(keepers)], watchDuration); err == nil {
 				backoff = minBackoff
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -53,6 +53,9 @@
 	tickInterval = 50 * time.Millisecond
 	// joinInterval is the time between two rounds while no peer is known.
 	joinInterval = 200 * time.Millisecond
+	// crossZoneRounds is the number of rounds of synchronization of which one leaves the
+	// own zone. Gossip carries changes between zones; this only repairs what it lost.
+	crossZoneRounds = 3
 )
 
 // Options holds the dependencies and parameters of a Fleet.
@@ -88,22 +91,6 @@
 	rng   *rand.Rand
 }
 
-// syncRequest asks for a comparison of two tables. Without summaries it only asks
-// whether the digests differ.
-type syncRequest struct {
-	Digest    uint64                    `codec:"d"`
-	Summaries map[string]member.Summary `codec:"s"`
-	Records   []member.Record           `codec:"r"`
-}
-
-// syncResponse holds the responder's summaries, or the records that the requester
-// lacks.
-type syncResponse struct {
-	Same      bool                      `codec:"e"`
-	Summaries map[string]member.Summary `codec:"s"`
-	Records   []member.Record           `codec:"r"`
-}
-
 // New opens the socket and returns a Fleet whose table contains only this daemon.
 func New(opts Options) (*Fleet, error) {
 	address, err := net.ResolveUDPAddr("udp", cmp.Or(opts.Listen, opts.Self.PeerAddress))
@@ -127,17 +114,12 @@
 	return fl, nil
 }
 
-// PeerWithNewerSettings returns the address of a daemon with newer settings than
+// PeerWithNewerSettings returns the address of a random member with newer settings than
 // version, or "" when there is none.
 func (fl *Fleet) PeerWithNewerSettings(version uint64) string {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	for _, rec := range fl.table.Records() {
-		if rec.Status < member.Dead && fl.table.SettingsVersionOf(rec.ID) > version {
-			return rec.PeerAddress
-		}
-	}
-	return ""
+	return fl.table.PickPeerWithNewerSettings(version)
 }
 
 // Close closes the socket, which also ends receiving.
--- a/core/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -9,27 +9,57 @@
 	"cactusstream.example/core/member"
 )
 
-// Join synchronizes with each seed once, so that a daemon knows the fleet before it
-// accepts requests.
+// Join synchronizes with a seed, so that a daemon knows the fleet before it accepts
+// requests.
 func (fl *Fleet) Join(ctx context.Context) {
-	fl.syncAll(ctx, fl.otherSeeds())
+	fl.syncWithOneSeed(ctx)
 	fl.refreshView()
 }
 
-// syncLoop synchronizes with the seeds every joinInterval until a peer is known. After
-// that it periodically synchronizes with a random peer, a dead daemon and a seed; the
-// latter two reconnect the sides of a healed network partition.
+// syncWithOneSeed synchronizes with the seeds in random order, until one has responded.
+// The next one is asked when joinInterval has passed without a response: a table is
+// large, and a whole fleet that starts should not fetch it three times a daemon.
+func (fl *Fleet) syncWithOneSeed(ctx context.Context) {
+	seeds := fl.otherSeeds()
+	fl.mu.Lock()
+	fl.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	fl.mu.Unlock()
+	results := make(chan bool, len(seeds))
+	pending := 0
+	for _, seed := range seeds {
+		pending++
+		go func() { results <- fl.sync(ctx, seed) }()
+		select {
+		case responded := <-results:
+			if responded {
+				return
+			}
+			pending--
+		case <-time.After(joinInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+	for ; pending > 0; pending-- {
+		if <-results {
+			return
+		}
+	}
+}
+
+// syncLoop synchronizes with a seed every joinInterval until a peer is known. After that
+// it periodically synchronizes with the daemons of syncTargets.
 func (fl *Fleet) syncLoop(ctx context.Context) {
-	round := 0
-	for {
-		fl.syncAll(ctx, fl.syncTargets(round))
+	for round := 0; ; round++ {
 		delay := joinInterval
-		if fl.PickPeer() != "" {
+		if fl.PickPeer() == "" {
+			fl.syncWithOneSeed(ctx)
+		} else {
+			fl.syncAll(ctx, fl.syncTargets(round))
 			fl.mu.Lock()
 			delay = syncInterval/2 + time.Duration(fl.rng.Int64N(int64(syncInterval)))
 			fl.mu.Unlock()
 		}
-		round++
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
@@ -48,20 +78,23 @@
 	wg.Wait()
 }
 
+// syncTargets returns the daemons of one round: a random one of the own zone, or in every
+// crossZoneRounds-th round one of the whole fleet and a seed, and a dead one. Dead daemons
+// and seeds reconnect the sides of a healed network partition.
 func (fl *Fleet) syncTargets(round int) []string {
-	peer := fl.PickPeer()
-	if peer == "" {
-		return fl.otherSeeds()
-	}
-	targets := []string{peer}
+	leavesZone := round%crossZoneRounds == 0
 	fl.mu.Lock()
-	dead := fl.table.PickDead()
+	peer, dead := fl.table.PickPeerInZone(), fl.table.PickDead()
+	if leavesZone {
+		peer = fl.table.PickPeer()
+	}
 	fl.mu.Unlock()
+	targets := []string{peer}
 	if dead != "" {
 		targets = append(targets, dead)
 	}
-	if seeds := fl.otherSeeds(); len(seeds) > 0 {
-		targets = append(targets, seeds[round%len(seeds)])
+	if seeds := fl.otherSeeds(); len(seeds) > 0 && leavesZone {
+		targets = append(targets, seeds[round/crossZoneRounds%len(seeds)])
 	}
 	return targets
 }
@@ -76,47 +109,31 @@
 	return seeds
 }
 
-// sync compares the tables by digest, then by summaries, and exchanges the records
-// that differ.
-func (fl *Fleet) sync(ctx context.Context, address string) {
+// sync compares the tables by digests and exchanges the records that differ. It reports
+// whether the other daemon responded.
+func (fl *Fleet) sync(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	fl.mu.Lock()
-	digest := fl.table.Digest()
+	req := fl.table.BeginSync()
 	fl.mu.Unlock()
-	response, err := link.Call[syncRequest, syncResponse](ctx, fl.opts.Pool, address, syncMethod, syncRequest{Digest: digest})
-	if err != nil || response.Same {
-		return
-	}
-	fl.mu.Lock()
-	req := syncRequest{Digest: digest, Summaries: fl.table.Summaries(), Records: fl.table.NewerThan(response.Summaries)}
-	fl.mu.Unlock()
-	response, err = link.Call[syncRequest, syncResponse](ctx, fl.opts.Pool, address, syncMethod, req)
-	if err != nil {
-		return
-	}
-	fl.merge(response.Records)
-}
-
-func (fl *Fleet) handleSync(_ context.Context, _ string, req syncRequest) (syncResponse, error) {
-	if req.Summaries == nil {
+	for {
+		response, err := link.Call[member.SyncRequest, member.SyncResponse](ctx, fl.opts.Pool, address, syncMethod, req)
+		if err != nil {
+			return false
+		}
 		fl.mu.Lock()
-		defer fl.mu.Unlock()
-		if req.Digest == fl.table.Digest() {
-			return syncResponse{Same: true}, nil
+		next, ok := fl.table.ContinueSync(fl.opts.Clock.Now(), response)
+		fl.mu.Unlock()
+		if !ok {
+			return true
 		}
-		return syncResponse{Summaries: fl.table.Summaries()}, nil
+		req = next
 	}
-	fl.merge(req.Records)
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return syncResponse{Records: fl.table.NewerThan(req.Summaries)}, nil
 }
 
-// merge merges records into the table. The next tick rebuilds the view once for all
-// of them.
-func (fl *Fleet) merge(records []member.Record) {
+func (fl *Fleet) handleSync(_ context.Context, _ string, req member.SyncRequest) (member.SyncResponse, error) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	fl.table.Merge(fl.opts.Clock.Now(), records)
+	return fl.table.AnswerSync(fl.opts.Clock.Now(), req), nil
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -59,6 +59,8 @@
 	SettingsVersion uint64
 	// Keepers holds the peer addresses of the keepers that are neither dead nor left.
 	Keepers []string
+	// KeeperZones holds the zone of each of them, by address.
+	KeeperZones map[string]string
 	// Daemons is the number of daemons that are neither dead nor left.
 	Daemons int
 	// revision is the revision of the member table that the view was built from.
@@ -67,7 +69,7 @@
 
 // newView builds a view with the pools of all services.
 func newView(records []member.Record, revision uint64, policy func(service string) *settings.Policy, version uint64) *View {
-	vi := &View{Pools: make(map[string]*Pool), Members: make(map[string]member.Record, len(records)), SettingsVersion: version, revision: revision}
+	vi := &View{Pools: make(map[string]*Pool), KeeperZones: make(map[string]string), Members: make(map[string]member.Record, len(records)), SettingsVersion: version, revision: revision}
 	for _, rec := range records {
 		vi.Members[rec.ID] = rec
 		if rec.Status == member.Left {
@@ -75,6 +77,7 @@
 		}
 		if rec.Keeper && rec.Status < member.Dead {
 			vi.Keepers = append(vi.Keepers, rec.PeerAddress)
+			vi.KeeperZones[rec.PeerAddress] = rec.Zone
 		}
 		if !rec.Keeper && rec.Status < member.Dead {
 			vi.Daemons++
--- /dev/null
+++ b/core/member/sync.go
@@ -0,0 +1,131 @@
+package member
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// BucketCount is the number of buckets that the records of a table are divided into for
+// synchronization, by a hash of their IDs.
+const BucketCount = 128
+
+// smallTable is the number of records up to which a table sends its summaries at once:
+// it belongs to a daemon that has just started and lacks almost everything.
+const smallTable = 8
+
+// Summary is the version and status of one record.
+type Summary struct {
+	Version Version `codec:"v"`
+	Status  Status  `codec:"t"`
+}
+
+// SyncRequest asks another table to compare itself with the sender's. The first request
+// of a synchronization holds only digests, so that two tables that differ in few
+// records exchange little, however large they are.
+type SyncRequest struct {
+	// Digests holds a digest for each bucket. It is empty in the second request.
+	Digests []uint32 `codec:"d,omitempty"`
+	// Buckets lists the buckets that Summaries and Records cover.
+	Buckets   []int              `codec:"b,omitempty"`
+	Summaries map[string]Summary `codec:"s,omitempty"`
+	Records   []Record           `codec:"r,omitempty"`
+}
+
+// SyncResponse answers a SyncRequest: with the summaries of the buckets that differ, or
+// with the records that the sender of a second request lacks.
+type SyncResponse struct {
+	Buckets   []int              `codec:"b,omitempty"`
+	Summaries map[string]Summary `codec:"s,omitempty"`
+	Records   []Record           `codec:"r,omitempty"`
+}
+
+// BeginSync returns the first request of a synchronization.
+func (ta *Table) BeginSync() SyncRequest {
+	if len(ta.members) <= smallTable {
+		all := allBuckets()
+		return SyncRequest{Buckets: all, Summaries: ta.summaries(all), Records: ta.newerThan(nil, all)}
+	}
+	return SyncRequest{Digests: ta.digests()}
+}
+
+// AnswerSync merges the records of a request and answers it.
+func (ta *Table) AnswerSync(now time.Time, req SyncRequest) SyncResponse {
+	if len(req.Digests) == 0 {
+		ta.Merge(now, req.Records)
+		return SyncResponse{Records: ta.newerThan(req.Summaries, req.Buckets)}
+	}
+	var differing []int
+	for bucket, digest := range ta.digests() {
+		if bucket >= len(req.Digests) || req.Digests[bucket] != digest {
+			differing = append(differing, bucket)
+		}
+	}
+	return SyncResponse{Buckets: differing, Summaries: ta.summaries(differing)}
+}
+
+// ContinueSync merges a response. It returns the second request of the synchronization,
+// and false if there is none to send.
+func (ta *Table) ContinueSync(now time.Time, resp SyncResponse) (SyncRequest, bool) {
+	ta.Merge(now, resp.Records)
+	if len(resp.Buckets) == 0 {
+		return SyncRequest{}, false
+	}
+	return SyncRequest{Buckets: resp.Buckets, Summaries: ta.summaries(resp.Buckets), Records: ta.newerThan(resp.Summaries, resp.Buckets)}, true
+}
+
+// digests returns a checksum for each bucket, of the records of all daemons that are
+// neither dead nor left.
+func (ta *Table) digests() []uint32 {
+	sums := make([]uint32, BucketCount)
+	for id, ent := range ta.members {
+		if ent.record.Status < Dead {
+			sums[bucketOf(id)] ^= uint32(recordHash(id, ent.record))
+		}
+	}
+	return sums
+}
+
+// summaries returns the version and status of every record in some buckets.
+func (ta *Table) summaries(buckets []int) map[string]Summary {
+	sums := make(map[string]Summary)
+	for id, ent := range ta.members {
+		if slices.Contains(buckets, bucketOf(id)) {
+			sums[id] = Summary{Version: ent.record.Version, Status: ent.record.Status}
+		}
+	}
+	return sums
+}
+
+// newerThan returns the records in some buckets that are missing or older in another
+// table, which is given by its summaries.
+func (ta *Table) newerThan(summaries map[string]Summary, buckets []int) []Record {
+	var records []Record
+	for id, ent := range ta.members {
+		if !slices.Contains(buckets, bucketOf(id)) {
+			continue
+		}
+		sum, known := summaries[id]
+		if !known && ent.record.Status >= Dead {
+			continue
+		}
+		if !known || (Record{Version: sum.Version, Status: sum.Status}).IsReplacedBy(ent.record) {
+			records = append(records, ent.record)
+		}
+	}
+	return records
+}
+
+func allBuckets() []int {
+	all := make([]int, BucketCount)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+func bucketOf(id string) int {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(id))
+	return int(sum.Sum32() % BucketCount)
+}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -180,18 +180,6 @@
 	return ta
 }
 
-// Digest returns a checksum of the records of all daemons that are neither dead
-// nor left. Equal digests mean that two tables need not be synchronized.
-func (ta *Table) Digest() uint64 {
-	var sum uint64
-	for id, ent := range ta.members {
-		if ent.record.Status < Dead {
-			sum ^= recordHash(id, ent.record)
-		}
-	}
-	return sum
-}
-
 // Leave marks this daemon as left and returns messages that announce it.
 func (ta *Table) Leave(now time.Time) []Outgoing {
 	ent := ta.members[ta.self]
@@ -213,22 +201,6 @@
 	return changed
 }
 
-// NewerThan returns the records that are missing or older in another table, which
-// is given by its summaries.
-func (ta *Table) NewerThan(summaries map[string]Summary) []Record {
-	var records []Record
-	for id, ent := range ta.members {
-		sum, known := summaries[id]
-		if !known && ent.record.Status >= Dead {
-			continue
-		}
-		if !known || (Record{Version: sum.Version, Status: sum.Status}).IsReplacedBy(ent.record) {
-			records = append(records, ent.record)
-		}
-	}
-	return records
-}
-
 // Records returns all records, sorted by ID.
 func (ta *Table) Records() []Record {
 	records := make([]Record, 0, len(ta.members))
@@ -273,21 +245,6 @@
 	return 0
 }
 
-// Summary is the version and status of one record.
-type Summary struct {
-	Version Version `codec:"v"`
-	Status  Status  `codec:"t"`
-}
-
-// Summaries returns the version and status of every record.
-func (ta *Table) Summaries() map[string]Summary {
-	sums := make(map[string]Summary, len(ta.members))
-	for id, ent := range ta.members {
-		sums[id] = Summary{Version: ent.record.Version, Status: ent.record.Status}
-	}
-	return sums
-}
-
 // TakeChanges returns the status changes since the last call.
 func (ta *Table) TakeChanges() []Change {
 	changes := ta.changes
@@ -398,6 +355,42 @@
 	return ""
 }
 
+// PickPeerInZone is like PickPeer, but returns a daemon of this daemon's zone if there is
+// one.
+func (ta *Table) PickPeerInZone() string {
+	for _, id := range ta.pickPeers(len(ta.order), "") {
+		if rec := ta.members[id].record; rec.Zone == ta.members[ta.self].record.Zone {
+			return rec.PeerAddress
+		}
+	}
+	return ta.PickPeer()
+}
+
+// PickPeerWithNewerSettings returns the address of a random member that last reported
+// newer settings than version, or "" when there is none. Members of this daemon's zone
+// come first, and members that are suspect last. The choice is random so that a member
+// that can't be reached is not asked again and again, and none is asked by all.
+func (ta *Table) PickPeerWithNewerSettings(version uint64) string {
+	address, bestCost := "", 0
+	for _, id := range ta.pickPeers(len(ta.order), "") {
+		ent := ta.members[id]
+		if ent.settingsVersion <= version {
+			continue
+		}
+		cost := 0
+		if ent.record.Zone != ta.members[ta.self].record.Zone {
+			cost++
+		}
+		if ent.record.Status == Suspect {
+			cost += 2
+		}
+		if address == "" || cost < bestCost {
+			address, bestCost = ent.record.PeerAddress, cost
+		}
+	}
+	return address
+}
+
 // PickDead returns the address of a random dead daemon, or "" when there is none.
 // Synchronizing with dead daemons occasionally lets the two sides of a healed
 // network partition find each other again.
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -135,13 +135,9 @@
 		if peer == nil || to == id || sim.paused[to] || sim.blocked[[2]string{id, to}] || sim.blocked[[2]string{to, id}] {
 			continue
 		}
-		if node.table.Digest() == peer.table.Digest() {
-			continue
+		for req, ok := node.table.BeginSync(), true; ok; {
+			req, ok = node.table.ContinueSync(sim.now, peer.table.AnswerSync(sim.now, req))
 		}
-		forPeer := node.table.NewerThan(peer.table.Summaries())
-		forSelf := peer.table.NewerThan(node.table.Summaries())
-		peer.table.Merge(sim.now, forPeer)
-		node.table.Merge(sim.now, forSelf)
 	}
 }
 
@@ -265,7 +261,7 @@
 	sim.run(90 * time.Second)
 	sim.requireAllAlive(t)
 	for _, id := range sim.order {
-		is.Equal(sim.nodes[id].table.Digest(), sim.nodes["d000"].table.Digest())
+		is.Equal(sim.nodes[id].table.BeginSync(), sim.nodes["d000"].table.BeginSync())
 	}
 }
 
@@ -384,3 +380,105 @@
 		}
 	}
 }
+
+// syncBytes synchronizes two tables and returns the encoded size of all messages.
+func syncBytes(t *testing.T, now time.Time, one, two *member.Table) int {
+	t.Helper()
+	size := 0
+	count := func(message any) {
+		data, err := codec.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += len(data)
+	}
+	for req, ok := one.BeginSync(), true; ok; {
+		count(req)
+		resp := two.AnswerSync(now, req)
+		count(resp)
+		req, ok = one.ContinueSync(now, resp)
+	}
+	return size
+}
+
+// TestSyncCostDoesNotGrowWithFleet synchronizes two tables that differ in five records,
+// in fleets of different sizes. docs/CAPACITY.md allows a daemon 5 KB of control traffic
+// a second; a synchronization takes place every ten.
+func TestSyncCostDoesNotGrowWithFleet(t *testing.T) {
+	const maxBytes = 5_000
+	for _, size := range []int{30, 100, 354, 730} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(2_000_000, 0)
+			newTable := func(self, changed int) *member.Table {
+				records := make([]member.Record, size)
+				for i := range records {
+					id := fmt.Sprintf("sidecar-%03d", i)
+					records[i] = member.Record{ID: id, Zone: "z", PeerAddress: id, OperatorAddress: id, Version: member.Version{Incarnation: uint64(now.UnixNano()), Sequence: 1}, Upstreams: []member.Upstream{{ID: id, Service: "service", Address: id, Slots: 13, State: member.StateReady}}}
+					if i >= size-changed {
+						records[i].Version.Sequence++
+					}
+				}
+				table := member.NewTable(records[self], member.DefaultOptions(), now)
+				table.Merge(now, records)
+				return table
+			}
+			one, two := newTable(0, 0), newTable(1, 5)
+			bytes := syncBytes(t, now, one, two)
+			t.Logf("%d bytes", bytes)
+			is.True(bytes <= maxBytes)
+			is.Equal(one.Records(), two.Records())
+			is.True(syncBytes(t, now, one, two) < maxBytes/5) // Nothing differs.
+		})
+	}
+}
+
+// TestSyncWithWrongSummaries answers a request whose summaries claim newer records than
+// there are, and one whose buckets do not exist. Neither may change the table or return
+// records of other buckets.
+func TestSyncWithWrongSummaries(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(2_000_000, 0)
+	table := member.NewTable(member.Record{ID: "self", Version: member.Version{Incarnation: 1}}, member.DefaultOptions(), now)
+	table.Merge(now, []member.Record{{ID: "other", Version: member.Version{Incarnation: 1}}})
+	before := table.Records()
+	newest := member.Summary{Version: member.Version{Incarnation: 9}}
+	all := table.BeginSync().Buckets
+	resp := table.AnswerSync(now, member.SyncRequest{Buckets: all, Summaries: map[string]member.Summary{"self": newest, "other": newest, "unknown": newest}})
+	is.Equal(len(resp.Records), 0)
+	resp = table.AnswerSync(now, member.SyncRequest{Buckets: []int{-1, member.BucketCount}})
+	is.Equal(len(resp.Records), 0)
+	resp = table.AnswerSync(now, member.SyncRequest{Digests: []uint32{1}})
+	is.Equal(len(resp.Summaries), 2)
+	is.Equal(table.Records(), before)
+}
+
+// TestPeerWithNewerSettings asks for a peer with newer settings while the first members
+// by ID are suspect, as keepers that were just killed are. The peer must be a reachable
+// one of the own zone, and not the same one each time.
+func TestPeerWithNewerSettings(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(2_000_000, 0)
+	version := member.Version{Incarnation: 1}
+	table := member.NewTable(member.Record{ID: "self", Zone: "a", PeerAddress: "self", Version: version}, member.DefaultOptions(), now)
+	add := func(id, zone string, status member.Status, settingsVersion uint64) {
+		table.Merge(now, []member.Record{{ID: id, Zone: zone, PeerAddress: id, Version: version, Status: status}})
+		table.Handle(now, member.Message{Kind: member.Update, From: id, Address: id, SettingsVersion: settingsVersion})
+	}
+	is.Equal(table.PickPeerWithNewerSettings(1), "")
+	add("core-1", "a", member.Suspect, 2)
+	add("dead", "a", member.Dead, 2)
+	is.Equal(table.PickPeerWithNewerSettings(1), "core-1") // There is no other.
+	add("other-zone", "b", member.Alive, 2)
+	is.Equal(table.PickPeerWithNewerSettings(1), "other-zone")
+	add("outdated", "a", member.Alive, 1)
+	add("near-1", "a", member.Alive, 2)
+	add("near-2", "a", member.Alive, 3)
+	picked := make(map[string]int)
+	for range 100 {
+		picked[table.PickPeerWithNewerSettings(1)]++
+	}
+	is.Equal(len(picked), 2)
+	is.True(picked["near-1"] > 10 && picked["near-2"] > 10)
+	is.Equal(table.PickPeerWithNewerSettings(3), "")
+}
