--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -195,6 +195,26 @@
 	is.True(errors.Is(err, link.ErrClosed))
 }
 
+// TestLostLinkLosesEachCall closes a server while hundreds of calls run. Their handlers
+// return an error when they are cancelled; none may be taken for a response.
+func TestLostLinkLosesEachCall(t *testing.T) {
+	const calls = 500
+	fi := newFixture(t)
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			if _, err := fi.call(context.Background(), echo{Sleep: 60_000}); !errors.Is(err, link.ErrLost) {
+				t.Errorf("got %v, want ErrLost", err)
+			}
+		})
+	}
+	for fi.received.Load() < calls {
+		time.Sleep(time.Millisecond)
+	}
+	fi.server.Close()
+	wg.Wait()
+}
+
 func TestCancelledCallIsCancelledAtPeer(t *testing.T) {
 	is := is.New(t)
 	fi := newFixture(t)
