--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -48,6 +48,9 @@
 	syncInterval = 10 * time.Second
 	// syncTimeout limits the synchronization with one daemon.
 	syncTimeout = 3 * time.Second
+	// maxSyncRequests is the number of requests of one synchronization: digests, then
+	// summaries. A daemon that asks for more is not followed.
+	maxSyncRequests = 2
 	// tickInterval is the time between two calls of Table.Tick, which needs several
 	// per probe timeout.
 	tickInterval = 50 * time.Millisecond
--- a/core/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -117,7 +117,7 @@
 	fl.mu.Lock()
 	req := fl.table.BeginSync()
 	fl.mu.Unlock()
-	for {
+	for range maxSyncRequests {
 		response, err := link.Call[member.SyncRequest, member.SyncResponse](ctx, fl.opts.Pool, address, syncMethod, req)
 		if err != nil {
 			return false
@@ -126,10 +126,11 @@
 		next, ok := fl.table.ContinueSync(fl.opts.Clock.Now(), response)
 		fl.mu.Unlock()
 		if !ok {
-			return true
+			break
 		}
 		req = next
 	}
+	return true
 }
 
 func (fl *Fleet) handleSync(_ context.Context, _ string, req member.SyncRequest) (member.SyncResponse, error) {
