refactor: one drain of a server, buckets as a set, keepers with their zones

From reading the whole change once more; behaviour stays as it is.

- Ingress.Drain and the server's own flag both made responses end their connections: process.Server.Drain does it, and the daemon calls that. closeListener no longer shares its name.
- The body of a request was limited twice, by http.MaxBytesReader and by bodybuffer; the second does both.
- Each member was looked up in a list of up to 128 buckets, and a peer chose the length of the list: it is a set now.
- The zones of keepers stood in a map beside their addresses; the view keeps the records.
A peer of the own zone was picked and thrown away in the rounds that leave it.

All tests keep their assertions; TestDrainEndsConnections is new.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -11,7 +11,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"crypto/ed25519"
 	"errors"
@@ -211,7 +210,7 @@
 func (da *Daemon) Stop(ctx context.Context) error {
 	da.stopping.Store(true)
 	da.opts.Log.Write(events.ProcessStopping, nil)
-	da.ingress.Drain()
+	da.callers.Drain()
 	if deadline, ok := ctx.Deadline(); ok {
 		for _, margin := range withdrawMargins {
 			withdraw := time.AfterFunc(time.Until(deadline)-margin, da.ingress.CancelQueued)
@@ -258,32 +257,33 @@
 	return !da.stopping.Load() && da.replica.Current().Version > 0
 }
 
-// keepers returns the keepers from the options and others that the fleet reports. Those
-// of this daemon's zone come first; the order of the others differs from daemon to daemon.
+// keepers returns the addresses of the keepers of this daemon's zone, and then those of
+// the others and of the options, starting with a different one in each daemon.
 func (da *Daemon) keepers() []string {
-	keepers := slices.Clone(da.opts.Keepers)
-	view := da.fleet.View()
-	for _, address := range view.Keepers {
-		if !slices.Contains(keepers, address) {
-			keepers = append(keepers, address)
+	var near, far []string
+	for _, rec := range da.fleet.View().Keepers {
+		if rec.Zone == da.opts.Config.Zone {
+			near = append(near, rec.PeerAddress)
+		} else {
+			far = append(far, rec.PeerAddress)
 		}
 	}
-	if len(keepers) > 0 {
-		first := int(da.started.UnixNano() % int64(len(keepers)))
-		keepers = append(keepers[first:], keepers[:first]...)
+	for _, address := range da.opts.Keepers {
+		if !slices.Contains(near, address) && !slices.Contains(far, address) {
+			far = append(far, address)
+		}
 	}
-	slices.SortStableFunc(keepers, func(a, b string) int {
-		return cmp.Compare(da.zoneRank(view, a), da.zoneRank(view, b))
-	})
-	return keepers
+	return append(da.rotate(near), da.rotate(far)...)
 }
 
-// zoneRank returns 0 for the address of a keeper in this daemon's zone, and else 1.
-func (da *Daemon) zoneRank(view *fleet.View, address string) int {
-	if view.KeeperZones[address] == da.opts.Config.Zone {
-		return 0
+// rotate returns a list that starts at an element that depends on the start of the daemon,
+// so that daemons are distributed over equal choices.
+func (da *Daemon) rotate(list []string) []string {
+	if len(list) == 0 {
+		return nil
 	}
-	return 1
+	first := int(da.started.UnixNano() % int64(len(list)))
+	return slices.Concat(list[first:], list[:first])
 }
 
 // publishUpstreams updates this daemon's upstreams in the member table.
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -6,7 +6,6 @@
 //
 //	in := ingress.New(options)
 //	http.Handle("/", in)
-//	in.Drain()   // responses now ask callers to close their connections
 //
 // docs/callers.md is the contract with callers.
 package ingress
@@ -82,7 +81,6 @@
 	opts          Options
 	started       time.Time
 	tracker       *tracker
-	draining      atomic.Bool
 	withdrawn     atomic.Bool
 	attempts      sync.Map     // fleet.Endpoint of each running attempt, by attempt ID.
 	lastFailureAt atomic.Int64 // Unix nanoseconds of the last failure response.
@@ -142,11 +140,6 @@
 	return &Ingress{opts: opts, started: opts.Clock.Now(), tracker: newTracker()}
 }
 
-// Drain makes all further responses ask callers to close their connections.
-func (in *Ingress) Drain() {
-	in.draining.Store(true)
-}
-
 // CancelQueued rejects every request that has no slot yet: those still looking for
 // an endpoint, and attempts queued at a gate.
 func (in *Ingress) CancelQueued() {
@@ -173,9 +166,6 @@
 // ServeHTTP handles one request of a caller.
 func (in *Ingress) ServeHTTP(wr http.ResponseWriter, httpReq *http.Request) {
 	started := in.opts.Clock.Now()
-	if in.draining.Load() {
-		wr.Header().Set("Connection", "close")
-	}
 	req, rejection := in.newRequest(wr, httpReq, started)
 	defer func() { in.opts.Bodies.Release(req.runRequest.Body) }()
 	if rejection != nil {
@@ -232,7 +222,10 @@
 		return req, req.reject(outcome.BadRequest, err.Error())
 	}
 	req.deadline = now.Add(limit)
-	body, err := in.readBody(wr, httpReq, min(req.policy.BodyLimit, wire.MaxBody))
+	body, err := in.opts.Bodies.Read(httpReq.Body, min(req.policy.BodyLimit, wire.MaxBody))
+	if err != nil {
+		wr.Header().Set("Connection", "close") // Keeps the server from reading the rest, which may have no end.
+	}
 	switch {
 	case errors.Is(err, bodybuffer.ErrTooLarge):
 		return req, req.reject(outcome.BodyTooLarge, err.Error())
@@ -249,22 +242,6 @@
 	return req, nil
 }
 
-// readBody reads the body of a request. If it refuses the body, the connection closes
-// after the response, so that the rest is not read.
-func (in *Ingress) readBody(wr http.ResponseWriter, httpReq *http.Request, limit int) ([]byte, error) {
-	// MaxBytesReader also makes the server close the connection instead of reading on.
-	reader := http.MaxBytesReader(wr, httpReq.Body, int64(limit))
-	body, err := in.opts.Bodies.Read(reader, limit)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fmt.Errorf("%w of %d bytes", bodybuffer.ErrTooLarge, limit)
-	}
-	if err != nil {
-		wr.Header().Set("Connection", "close")
-	}
-	return body, err
-}
-
 // awaitSettings returns the settings in force. If there are none yet, it waits
 // up to startupTimeout for them.
 func (in *Ingress) awaitSettings(ctx context.Context) *settingsync.Active {
--- a/cactusd/internal/ingress/platform_dialect_test.go
+++ b/cactusd/internal/ingress/platform_dialect_test.go
@@ -311,7 +311,6 @@
 	first := make(chan int, 1)
 	go func() { first <- sendRequest(in, "/cut/7", "5000", "x").Code }()
 	<-queued
-	in.Drain()
 	in.CancelQueued()
 	is.Equal(len(runner.withdrawn), 1)
 	close(release)
--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -99,7 +99,7 @@
 		keeperOpts.OperatorAddress = opts.Group.PublicAddress
 		keeperOpts.Group = keeper.GroupOptions{
 			Size: opts.Group.Size, IsFirstStart: opts.Group.IsFirstStart, Seeds: opts.Group.Seeds,
-			KnownKeepers: func() []string { return se.fleet.View().Keepers },
+			KnownKeepers: func() []string { return se.fleet.View().KeeperAddresses() },
 		}
 	}
 	if se.keeper, err = keeper.Open(ctx, keeperOpts); err != nil {
--- a/core/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -84,10 +84,11 @@
 func (fl *Fleet) syncTargets(round int) []string {
 	leavesZone := round%crossZoneRounds == 0
 	fl.mu.Lock()
-	peer, dead := fl.table.PickPeerInZone(), fl.table.PickDead()
+	pick := fl.table.PickPeerInZone
 	if leavesZone {
-		peer = fl.table.PickPeer()
+		pick = fl.table.PickPeer
 	}
+	peer, dead := pick(), fl.table.PickDead()
 	fl.mu.Unlock()
 	targets := []string{peer}
 	if dead != "" {
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -57,10 +57,8 @@
 	Pools           map[string]*Pool
 	Members         map[string]member.Record
 	SettingsVersion uint64
-	// Keepers holds the peer addresses of the keepers that are neither dead nor left.
-	Keepers []string
-	// KeeperZones holds the zone of each of them, by address.
-	KeeperZones map[string]string
+	// Keepers holds the records of the keepers that are neither dead nor left.
+	Keepers []member.Record
 	// Daemons is the number of daemons that are neither dead nor left.
 	Daemons int
 	// revision is the revision of the member table that the view was built from.
@@ -69,15 +67,14 @@
 
 // newView builds a view with the pools of all services.
 func newView(records []member.Record, revision uint64, policy func(service string) *settings.Policy, version uint64) *View {
-	vi := &View{Pools: make(map[string]*Pool), KeeperZones: make(map[string]string), Members: make(map[string]member.Record, len(records)), SettingsVersion: version, revision: revision}
+	vi := &View{Pools: make(map[string]*Pool), Members: make(map[string]member.Record, len(records)), SettingsVersion: version, revision: revision}
 	for _, rec := range records {
 		vi.Members[rec.ID] = rec
 		if rec.Status == member.Left {
 			continue
 		}
 		if rec.Keeper && rec.Status < member.Dead {
-			vi.Keepers = append(vi.Keepers, rec.PeerAddress)
-			vi.KeeperZones[rec.PeerAddress] = rec.Zone
+			vi.Keepers = append(vi.Keepers, rec)
 		}
 		if !rec.Keeper && rec.Status < member.Dead {
 			vi.Daemons++
@@ -92,6 +89,15 @@
 	return vi
 }
 
+// KeeperAddresses returns the peer addresses of the keepers.
+func (vi *View) KeeperAddresses() []string {
+	addresses := make([]string, 0, len(vi.Keepers))
+	for _, rec := range vi.Keepers {
+		addresses = append(addresses, rec.PeerAddress)
+	}
+	return addresses
+}
+
 func (vi *View) addUpstream(rec member.Record, up member.Upstream) {
 	pool := vi.Pools[up.Service]
 	if pool == nil {
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"time"
 )
 
@@ -86,14 +85,27 @@
 	return sums
 }
 
-// summaries returns the version and status of every record in some buckets.
-func (ta *Table) summaries(buckets []int) map[string]Summary {
-	sums := make(map[string]Summary)
+// inBuckets calls fn for every entry in some buckets.
+func (ta *Table) inBuckets(buckets []int, fn func(id string, ent *entry)) {
+	var wanted [BucketCount]bool
+	for _, bucket := range buckets {
+		if bucket >= 0 && bucket < BucketCount {
+			wanted[bucket] = true
+		}
+	}
 	for id, ent := range ta.members {
-		if slices.Contains(buckets, bucketOf(id)) {
-			sums[id] = Summary{Version: ent.record.Version, Status: ent.record.Status}
+		if wanted[bucketOf(id)] {
+			fn(id, ent)
 		}
 	}
+}
+
+// summaries returns the version and status of every record in some buckets.
+func (ta *Table) summaries(buckets []int) map[string]Summary {
+	sums := make(map[string]Summary)
+	ta.inBuckets(buckets, func(id string, ent *entry) {
+		sums[id] = Summary{Version: ent.record.Version, Status: ent.record.Status}
+	})
 	return sums
 }
 
@@ -101,18 +113,16 @@
 // table, which is given by its summaries.
 func (ta *Table) newerThan(summaries map[string]Summary, buckets []int) []Record {
 	var records []Record
-	for id, ent := range ta.members {
-		if !slices.Contains(buckets, bucketOf(id)) {
-			continue
-		}
+	ta.inBuckets(buckets, func(id string, ent *entry) {
 		sum, known := summaries[id]
-		if !known && ent.record.Status >= Dead {
-			continue
+		isNews := ent.record.Status < Dead
+		if known {
+			isNews = Record{Version: sum.Version, Status: sum.Status}.IsReplacedBy(ent.record)
 		}
-		if !known || (Record{Version: sum.Version, Status: sum.Status}).IsReplacedBy(ent.record) {
+		if isNews {
 			records = append(records, ent.record)
 		}
-	}
+	})
 	return records
 }
 
--- a/core/process/listener.go
+++ b/core/process/listener.go
@@ -8,10 +8,10 @@
 // acceptGrace is the time allowed for queued connections to be accepted.
 const acceptGrace = 50 * time.Millisecond
 
-// drain closes a listener without resetting connections: it refuses new
+// closeListener closes a listener without resetting connections: it refuses new
 // connections, lets those that are established or in their handshake be
 // accepted, and then closes.
-func drain(lis *net.TCPListener) {
+func closeListener(lis *net.TCPListener) {
 	_ = refuseNewConnections(lis) // If this fails, Close resets the connections in the accept queue.
 	time.Sleep(acceptGrace)
 	_ = lis.Close()
--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -160,3 +160,23 @@
 		})
 	}
 }
+
+// TestDrainEndsConnections sends a request before and after Drain. Only the response to
+// the second one must end its connection.
+func TestDrainEndsConnections(t *testing.T) {
+	is := is.New(t)
+	srv := NewServer("127.77.0.202:18080", http.HandlerFunc(writeCompleteBody), nil)
+	is.NoErr(srv.Start())
+	defer srv.Close()
+	get := func() *http.Response {
+		resp, err := http.Get("http://" + srv.address)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		return resp
+	}
+	is.True(!get().Close)
+	srv.Drain()
+	is.True(get().Close)
+}
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -181,8 +181,7 @@
 	return se
 }
 
-// closeWhileDraining makes the responses of a server that is shutting down end their
-// connections.
+// closeWhileDraining makes the responses end their connections once Drain was called.
 func (se *Server) closeWhileDraining(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 		if se.draining.Load() {
@@ -197,12 +196,17 @@
 	_ = se.http.Close()
 }
 
-// Shutdown drains and closes the listener, and waits until all requests have been
+// Drain makes all further responses end their connections.
+func (se *Server) Drain() {
+	se.draining.Store(true)
+}
+
+// Shutdown closes the listener, and waits until all requests have been
 // answered or the context ends.
 func (se *Server) Shutdown(ctx context.Context) error {
-	se.draining.Store(true)
+	se.Drain()
 	if se.listener != nil {
-		drain(se.listener)
+		closeListener(se.listener)
 		// Every accepted connection is known only once Serve has returned.
 		select {
 		case <-se.served:
--- a/standin/internal/e2e/fleet_test.go
+++ b/standin/internal/e2e/fleet_test.go
@@ -321,6 +321,19 @@
 	<-fl.process(name).done
 }
 
+// crashAndPause kills and restarts one daemon, and then pauses another for two seconds.
+func (fl *fleet) crashAndPause() {
+	fl.t.Helper()
+	time.Sleep(time.Second)
+	fl.kill("d2")
+	time.Sleep(2 * time.Second)
+	fl.restart("d2")
+	time.Sleep(3 * time.Second)
+	fl.signal("d3", syscall.SIGSTOP)
+	time.Sleep(2 * time.Second)
+	fl.signal("d3", syscall.SIGCONT)
+}
+
 // stop sends SIGTERM and checks that the process exits with code 0 within 25 s.
 func (fl *fleet) stop(name string) {
 	fl.t.Helper()
--- a/standin/internal/e2e/measure_test.go
+++ b/standin/internal/e2e/measure_test.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -434,14 +433,7 @@
 	fl := newQuillotaFleet(t, 1, 20*time.Millisecond)
 	wait := callInBackground(fl, caller.Config{Method: "POST", Path: "/corte/order", Rate: 40, Duration: 12 * time.Second, Keys: true},
 		caller.Config{Path: "/catalogo/stock", Rate: 60, Duration: 12 * time.Second})
-	time.Sleep(time.Second)
-	fl.kill("d2")
-	time.Sleep(2 * time.Second)
-	fl.restart("d2")
-	time.Sleep(3 * time.Second)
-	fl.signal("d3", syscall.SIGSTOP)
-	time.Sleep(2 * time.Second)
-	fl.signal("d3", syscall.SIGCONT)
+	fl.crashAndPause()
 	reports := wait()
 	runs, _ := fl.runsByKey()
 	doubleRuns, wrong := 0, 0
