fix(follower): a failed keeper is left at once

Cause: found by reading. The time after which a daemon returns to its preferred keeper was counted from its start, not from when it left that keeper. The first failure after 30 s led back to the keeper that had just failed, which costs up to 1.5 s more of the 2 s in which settings must be in force everywhere.

Change: the choice is a value of its own, without a clock inside.

--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -126,25 +126,45 @@
 // starts with the first one and moves to the next one after an error; after
 // preferInterval it returns to the first.
 func (fo *Follower) watchKeepers(ctx context.Context) {
-	index := 0
+	var turn keeperTurn
 	backoff := minBackoff
-	startedAt := time.Now()
 	for ctx.Err() == nil {
-		if index > 0 && time.Since(startedAt) > preferInterval {
-			index, startedAt = 0, time.Now()
-		}
 		if keepers := fo.opts.Keepers(); len(keepers) > 0 {
-			if err := fo.pull(ctx, keepers[index%len(keepers)], watchDuration); err == nil {
+			if err := fo.pull(ctx, keepers[turn.current(time.Now())%len(keepers)], watchDuration); err == nil {
 				backoff = minBackoff
 				continue
 			}
 		}
-		index++
+		turn.advance(time.Now())
 		fo.sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// keeperTurn selects the keeper to poll, by its position in the order of preference. The
+// zero value selects the first one.
+type keeperTurn struct {
+	index int
+	// leftAt is when the first one was left.
+	leftAt time.Time
+}
+
+// current returns the position of the keeper to poll.
+func (tu *keeperTurn) current(now time.Time) int {
+	if tu.index > 0 && now.Sub(tu.leftAt) > preferInterval {
+		tu.index = 0
+	}
+	return tu.index
+}
+
+// advance moves to the next keeper after an error.
+func (tu *keeperTurn) advance(now time.Time) {
+	if tu.index == 0 {
+		tu.leftAt = now
+	}
+	tu.index++
+}
+
 // sleep waits for a duration or until the context ends.
 func (fo *Follower) sleep(ctx context.Context, duration time.Duration) {
 	select {
