feat(follower): logs tell how old a daemon's settings are and whence they came

Change, no logic: event 200 has the way (poll, peer, start), the time since the request for it and since a keeper last answered a poll; event 204 says that a daemon polls another keeper, which one it left, and the failure that made it leave; event 508 says that a flush of a keeper took over 0.3 s.

--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -61,14 +62,26 @@
 	PeerWithNewerSettings func(version uint64) string
 }
 
+// The ways by which settings reach a daemon, in the field way of settingsInForce.
+const (
+	wayPoll  = "poll"
+	wayPeer  = "peer"
+	wayStart = "start"
+)
+
 // Follower keeps the settings in a settingsync.Replica up to date.
 type Follower struct {
 	opts Options
+	// confirmedAt is when a keeper last answered a poll: either with newer settings, or
+	// that there are none. It is the zero time until then.
+	confirmedAt atomic.Pointer[time.Time]
 }
 
 // New returns a Follower.
 func New(opts Options) *Follower {
-	return &Follower{opts: opts}
+	fo := &Follower{opts: opts}
+	fo.confirmedAt.Store(&time.Time{})
+	return fo
 }
 
 // Start asks every keeper and seed concurrently and applies the newest
@@ -79,7 +92,7 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for _, address := range append(fo.opts.Keepers(), fo.opts.Seeds()...) {
-		group.Go(func() { _ = fo.pull(ctx, address, 0) })
+		group.Go(func() { _ = fo.pull(ctx, address, 0, wayStart) })
 	}
 	group.Wait()
 }
@@ -112,7 +125,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer func() { close(done); <-pulls }()
-			_ = fo.pull(ctx, address, 0) // Logged there; another peer is asked next.
+			_ = fo.pull(ctx, address, 0, wayPeer) // Logged there; another peer is asked next.
 		}()
 		select {
 		case <-done:
@@ -127,10 +140,17 @@
 // preferInterval it returns to the first.
 func (fo *Follower) watchKeepers(ctx context.Context) {
 	var turn keeperTurn
+	var polled string
+	var failure error
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if keepers := fo.opts.Keepers(); len(keepers) > 0 {
-			if err := fo.pull(ctx, keepers[turn.current(time.Now())%len(keepers)], watchDuration); err == nil {
+			keeper := keepers[turn.current(time.Now())%len(keepers)]
+			if keeper != polled {
+				fo.logSource(keeper, polled, failure)
+			}
+			polled = keeper
+			if failure = fo.pull(ctx, keeper, watchDuration, wayPoll); failure == nil {
 				backoff = minBackoff
 				continue
 			}
@@ -176,7 +196,7 @@
 // pull fetches newer settings from one process and applies them. If there are
 // none, the process holds the request for up to wait. If the update doesn't
 // match the current settings, pull fetches all settings instead.
-func (fo *Follower) pull(ctx context.Context, address string, wait time.Duration) error {
+func (fo *Follower) pull(ctx context.Context, address string, wait time.Duration, way string) error {
 	timeout := pullTimeout
 	if wait > 0 {
 		timeout = wait + watchMargin
@@ -184,18 +204,19 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	have := fo.opts.Replica.Current().Version
+	asked := time.Now()
 	upd, err := fo.fetch(ctx, address, have, wait)
 	if err != nil {
 		return err
 	}
-	if err = fo.apply(upd, address); !errors.Is(err, settingsync.ErrDigestMismatch) && !errors.Is(err, settingsync.ErrMissingChanges) {
+	if err = fo.apply(upd, address, way, asked); !errors.Is(err, settingsync.ErrDigestMismatch) && !errors.Is(err, settingsync.ErrMissingChanges) {
 		return err
 	}
 	fo.opts.Log.Write(events.SettingsDrift, logrus.Fields{"version": upd.Version, "from": address})
 	if upd, err = fo.fetch(ctx, address, 0, 0); err != nil {
 		return err
 	}
-	return fo.apply(upd, address)
+	return fo.apply(upd, address, way, asked)
 }
 
 // fetch requests what changed since a version; version 0 requests all settings.
@@ -207,15 +228,35 @@
 	return packed.Unpack()
 }
 
-// apply applies an update and logs the result.
-func (fo *Follower) apply(upd settingsync.Update, from string) error {
+// apply applies an update and logs the result, with the way by which the update came,
+// the time since it was requested, and the time since a keeper last answered a poll.
+func (fo *Follower) apply(upd settingsync.Update, from, way string, asked time.Time) error {
+	confirmedAt := *fo.confirmedAt.Load()
 	applied, err := fo.opts.Replica.Apply(upd)
 	if err != nil {
 		fo.opts.Log.Write(events.SettingsRefused, logrus.Fields{"version": upd.Version, "from": from, "error": err.Error()})
 		return err
 	}
+	now := time.Now()
+	if way == wayPoll {
+		fo.confirmedAt.Store(&now)
+	}
 	if applied {
-		fo.opts.Log.Write(events.SettingsInForce, logrus.Fields{"version": upd.Version, "from": from})
+		fields := logrus.Fields{"version": upd.Version, "from": from, "way": way, "askedAgoMillis": now.Sub(asked).Milliseconds()}
+		if !confirmedAt.IsZero() {
+			fields["confirmedAgoMillis"] = now.Sub(confirmedAt).Milliseconds()
+		}
+		fo.opts.Log.Write(events.SettingsInForce, fields)
 	}
 	return nil
 }
+
+// logSource logs that another keeper is polled than before, and the failure of the poll
+// before, if that is the reason.
+func (fo *Follower) logSource(keeper, before string, failure error) {
+	fields := logrus.Fields{"keeper": keeper, "before": before}
+	if failure != nil {
+		fields["error"] = failure.Error()
+	}
+	fo.opts.Log.Write(events.SettingsSource, fields)
+}
--- a/cactuskeeper/keeper/keeper.go
+++ b/cactuskeeper/keeper/keeper.go
@@ -41,6 +41,8 @@
 	identityInterval = 500 * time.Millisecond
 	reopenDelay      = 500 * time.Millisecond
 	tickInterval     = 20 * time.Millisecond
+	// maxFlushTime is the duration of a flush from which an event is logged.
+	maxFlushTime = 300 * time.Millisecond
 	taskQueueLength  = 1024 // tasks
 )
 
@@ -256,9 +258,18 @@
 		ke.sendIdentity()
 		ke.reconfigure(ke.opts.Clock.Now())
 		ke.node.Tick(ke.opts.Clock.Now())
-		if err := ke.flush(); err != nil {
-			ke.fail(err)
-		}
+		ke.flushOrFail()
+	}
+}
+
+// flushOrFail flushes the consensus node, and logs an event if that took long.
+func (ke *Keeper) flushOrFail() {
+	start := ke.opts.Clock.Now()
+	if err := ke.flush(); err != nil {
+		ke.fail(err)
+	}
+	if took := ke.opts.Clock.Now().Sub(start); took > maxFlushTime {
+		ke.opts.Log.Write(events.KeeperBlocked, logrus.Fields{"blockedMillis": took.Milliseconds()})
 	}
 }
 
