fix(keeper): a keeper that learns of no change sends daemons away

Cause: a daemon waits for newer settings at one keeper, and the answer that there are none was given on a flag, "knows a leader". The flag was set by the main loop, so it stayed set while the loop stood in a sync of a stalled disk; it was set by any message of a leader, so also while the keeper caught up; and a learner never lost it, since only voters time their leader out. It was looked at when the wait of 0.8 s began and not during it. The class: a sign of life that is a stored flag instead of evidence with an age.

Ruled out: the acknowledgement came too early (the other keepers had each version within 10 ms), lost or refused updates (no event 201 or 203).

Change: the leader says with each append how long ago a quorum confirmed its commit index; a node is current as of that time once it has applied that index. A keeper holds a waiting daemon for one election timeout after that and rejects it then, whatever its main loop does.

A daemon that is asked to wait says that it can't confirm anything; it counted as always current. None asked it to.

--- a/cactuskeeper/keeper/keeper.go
+++ b/cactuskeeper/keeper/keeper.go
@@ -42,8 +42,8 @@
 	reopenDelay      = 500 * time.Millisecond
 	tickInterval     = 20 * time.Millisecond
 	// maxFlushTime is the duration of a flush from which an event is logged.
-	maxFlushTime = 300 * time.Millisecond
-	taskQueueLength  = 1024 // tasks
+	maxFlushTime    = 300 * time.Millisecond
+	taskQueueLength = 1024 // tasks
 )
 
 // Errors that calls to a keeper return.
@@ -86,8 +86,8 @@
 	tasks    chan func(now time.Time)
 	stopped  chan struct{}
 	stopping atomic.Bool
-	// hasLeader reports whether this keeper is or knows the current leader.
-	hasLeader atomic.Bool
+	// fresh tells whether this keeper is known to have all accepted changes.
+	fresh *settingsync.Freshness
 
 	// Owned by Run.
 	node           *consensus.Node
@@ -153,6 +153,7 @@
 		pending:      make(map[uint64]pendingProposal),
 		pendingReads: make(map[uint64]chan error),
 		store:        settings.NewStore(),
+		fresh:        settingsync.NewFreshness(opts.Consensus.ElectionTimeout),
 		group:        group{opts: opts.Group, joinRequests: make(map[string]reconfig.ReceivedJoinRequest)},
 	}
 	if err := ke.restore(state.Snapshot); err != nil {
@@ -161,7 +162,7 @@
 	tra.setAddresses(node.Config())
 	link.HandleNotice(opts.Mux, methodMessage, ke.receive)
 	link.HandleNotice(opts.Mux, methodJoinRequest, ke.receiveJoinRequest)
-	settingsync.Serve(opts.Mux, ke.replica, ke.hasLeader.Load)
+	settingsync.Serve(opts.Mux, ke.replica, ke.fresh)
 	link.Handle(opts.Mux, settingsync.MethodNewest, ke.newestVersion)
 	return ke, nil
 }
@@ -262,11 +263,14 @@
 	}
 }
 
-// flushOrFail flushes the consensus node, and logs an event if that took long.
+// flushOrFail flushes the consensus node, and logs an event if that took long. After a
+// flush, the settings are as new as the newest evidence of the node.
 func (ke *Keeper) flushOrFail() {
 	start := ke.opts.Clock.Now()
 	if err := ke.flush(); err != nil {
 		ke.fail(err)
+	} else {
+		ke.fresh.Confirm(ke.node.CurrentAt(start))
 	}
 	if took := ke.opts.Clock.Now().Sub(start); took > maxFlushTime {
 		ke.opts.Log.Write(events.KeeperBlocked, logrus.Fields{"blockedMillis": took.Milliseconds()})
@@ -335,7 +339,6 @@
 // fail marks the disk as failed and fails all pending proposals and reads.
 func (ke *Keeper) fail(err error) {
 	ke.diskErr = err
-	ke.hasLeader.Store(false)
 	ke.diskFailedAt = ke.opts.Clock.Now()
 	ke.opts.Log.Write(events.KeeperDiskFailed, logrus.Fields{"error": err.Error()})
 	for index, prop := range ke.pending {
@@ -454,10 +457,8 @@
 	}
 }
 
-// updateRole updates hasLeader and logs when this keeper becomes the leader or
-// stops being it.
+// updateRole logs when this keeper becomes the leader or stops being it.
 func (ke *Keeper) updateRole() {
-	ke.hasLeader.Store(ke.node.Leader() != "")
 	role := ke.node.Role()
 	if role == ke.lastRole {
 		return
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -61,6 +61,7 @@
 // committed first: otherwise two memberships whose majorities do not overlap
 // could both commit entries.
 func (no *Node) proposeConfig(now time.Time, config Config) (uint64, error) {
+	no.now = now
 	if no.role != RoleLeader {
 		return 0, ErrNotLeader
 	}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -32,6 +32,11 @@
 	nextHeartbeat    time.Time
 	// leaderContactAt is when a follower last received a message from the leader.
 	leaderContactAt time.Time
+	// now is the time of the current event.
+	now time.Time
+	// upToDate is the newest evidence that this node, as a follower, has all committed
+	// entries: the commit index of a leader whose log it matched.
+	upToDate evidence
 	// quorumContactAt is when the leader last had responses from a quorum within the
 	// election timeout.
 	quorumContactAt time.Time
@@ -73,6 +78,12 @@
 	config Config
 }
 
+// evidence is a commit index and the time at which it was the newest one.
+type evidence struct {
+	index uint64
+	at    time.Time
+}
+
 // pendingRead is a Read that waits for a quorum to acknowledge seq.
 type pendingRead struct {
 	id    uint64
@@ -159,6 +170,7 @@
 // Propose appends a command to the leader's log and replicates it. The command is
 // committed only if the entry at the returned index has the returned term.
 func (no *Node) Propose(now time.Time, data []byte) (index, term uint64, err error) {
+	no.now = now
 	if no.role != RoleLeader {
 		return 0, 0, ErrNotLeader
 	}
@@ -215,6 +227,7 @@
 // Tick handles elapsed timeouts. It must be called several times per heartbeat
 // interval.
 func (no *Node) Tick(now time.Time) {
+	no.now = now
 	if no.role == RoleLeader {
 		no.tickLeader(now)
 		return
@@ -227,6 +240,7 @@
 
 // Step processes a message from another keeper.
 func (no *Node) Step(now time.Time, msg Message) {
+	no.now = now
 	if no.ignoresVoteRequest(now, msg) {
 		return
 	}
--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -11,8 +11,9 @@
 )
 
 // TestRandomFaults injects random faults in seeded runs. Each run checks that all
-// keepers commit the same log, that no acknowledged command is lost, and that the
-// group recovers once the faults end.
+// keepers commit the same log, that no acknowledged command is lost, that no keeper
+// counts as current without the acknowledged commands, and that the group recovers once
+// the faults end.
 func TestRandomFaults(t *testing.T) {
 	const seeds = 1500
 	if testing.Short() {
@@ -30,6 +31,7 @@
 				si.propose()
 			}
 			si.step(0.002)
+			si.checkCurrent(seed)
 		}
 		si.stopFaults()
 		si.checkConverged(seed)
@@ -111,6 +113,75 @@
 	is.True(old.node.Role() != consensus.RoleLeader)
 }
 
+// A node that hears nothing more from the leader must not count as current any longer:
+// neither a voter nor a learner, which starts no election and so never forgets its leader.
+// The leader must not either once it hears nothing from a quorum.
+func TestPartitionedNodeIsNotCurrent(t *testing.T) {
+	for _, what := range []string{"voter", "learner", "leader"} {
+		t.Run(what, func(t *testing.T) {
+			is := is.New(t)
+			si := newSim(t, 8, 3)
+			leader := waitForLeader(t, si)
+			subject := leader
+			switch what {
+			case "voter":
+				subject = si.nodes[si.ids[0]]
+				if subject == leader {
+					subject = si.nodes[si.ids[1]]
+				}
+			case "learner":
+				si.add("k4", consensus.State{})
+				_, err := leader.node.AddLearner(si.now, consensus.Member{ID: "k4"})
+				is.NoErr(err)
+				si.flush(leader, 0)
+				subject = si.nodes["k4"]
+			}
+			runFor(si, time.Second)
+			is.True(si.now.Sub(subject.node.CurrentAt(si.now)) < 300*time.Millisecond)
+			for _, id := range si.ids {
+				si.cutLinks[[2]string{id, subject.id}] = true
+				si.cutLinks[[2]string{subject.id, id}] = true
+			}
+			cutAt := si.now
+			runFor(si, 5*time.Second)
+			is.True(!subject.node.CurrentAt(si.now).After(cutAt.Add(maxSimDelay + simTick))) // Messages in flight still arrive.
+			clear(si.cutLinks)
+			runFor(si, 3*time.Second)
+			is.True(si.now.Sub(subject.node.CurrentAt(si.now)) < 300*time.Millisecond)
+		})
+	}
+}
+
+// A follower that hears from the leader but doesn't have all committed entries yet must
+// not count as current.
+func TestFollowerThatCatchesUpIsNotCurrent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	members := consensus.Config{Members: []consensus.Member{{ID: "k1", Voter: true}, {ID: "k2", Voter: true}}}
+	node, err := consensus.NewNode("k2", consensus.State{Snapshot: consensus.Snapshot{Config: members}}, consensus.DefaultOptions(), now)
+	is.NoErr(err)
+	flush := func() {
+		rdy := node.Ready()
+		node.Persisted(rdy)
+		node.TakeCommitted()
+	}
+	appendEntry := func(index uint64) consensus.Message {
+		return consensus.Message{
+			Kind: consensus.MessageAppend, From: "k1", To: "k2", Term: 1, Index: index - 1, LogTerm: min(index-1, 1), Commit: 2,
+			Entries: []consensus.Entry{{Index: index, Term: 1, Kind: consensus.EntryNoop}},
+		}
+	}
+	is.True(node.CurrentAt(now).IsZero())
+	node.Step(now, appendEntry(1)) // Entry 2 is committed too.
+	flush()
+	is.True(node.CurrentAt(now).IsZero())
+	now = now.Add(time.Second)
+	node.Step(now, appendEntry(2))
+	is.True(node.CurrentAt(now).IsZero()) // Not applied yet.
+	flush()
+	is.Equal(node.CurrentAt(now.Add(time.Second)), now)
+}
+
 func TestReadIsConfirmed(t *testing.T) {
 	is := is.New(t)
 	si := newSim(t, 4, 5)
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -26,6 +26,7 @@
 // Read starts a linearizable read: a quorum must confirm that this node is still
 // the leader. TakeReads returns the result with the same ID.
 func (no *Node) Read(now time.Time, id uint64) error {
+	no.now = now
 	if no.role != RoleLeader {
 		return ErrNotLeader
 	}
@@ -47,6 +48,43 @@
 	return reads
 }
 
+// CurrentAt returns the newest time at which this node is known to have had all entries
+// committed by then, which it has applied now. It returns the zero time if there is none.
+func (no *Node) CurrentAt(now time.Time) time.Time {
+	known := no.upToDate
+	if no.role == RoleLeader {
+		known = evidence{index: no.commit, at: no.confirmedAt(now)}
+	}
+	if no.applied < known.index {
+		return time.Time{}
+	}
+	return known.at
+}
+
+// confirmedAt returns the time by which a quorum of voters has responded to the leader,
+// so that no other leader can have committed an entry before. It returns the zero time
+// until the leader has committed an entry of its own term.
+func (no *Node) confirmedAt(now time.Time) time.Time {
+	if no.log.termOrZero(no.commit) != no.hardState.Term {
+		return time.Time{}
+	}
+	var responses []time.Time
+	for _, mem := range no.Config().Members {
+		switch {
+		case !mem.Voter:
+		case mem.ID == no.id:
+			responses = append(responses, now)
+		default:
+			responses = append(responses, no.peers[mem.ID].lastResponseAt)
+		}
+	}
+	if len(responses) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(responses, time.Time.Compare)
+	return responses[(len(responses)-1)/2]
+}
+
 // Progress returns the time of the last response of a member and its match index,
 // or zero values if this node is not the leader or does not know the member.
 func (no *Node) Progress(id string) (lastResponseAt time.Time, match uint64) {
@@ -132,7 +170,7 @@
 		return
 	}
 	entries := no.log.entriesFrom(peer.next, no.opts.MaxAppendBytes)
-	no.send(Message{Kind: MessageAppend, To: id, Index: prev, LogTerm: prevTerm, Entries: entries, Commit: no.commit, ReadSeq: no.readSeq})
+	no.send(Message{Kind: MessageAppend, To: id, Index: prev, LogTerm: prevTerm, Entries: entries, Commit: no.commit, ConfirmedAgo: no.now.Sub(no.confirmedAt(no.now)), ReadSeq: no.readSeq})
 	peer.next += uint64(len(entries))
 }
 
@@ -190,6 +228,9 @@
 	no.storeEntries(msg.Entries)
 	resp.Match = msg.Index + uint64(len(msg.Entries))
 	no.commit = max(no.commit, min(msg.Commit, resp.Match))
+	if resp.Match >= msg.Commit {
+		no.upToDate = evidence{index: msg.Commit, at: now.Add(-msg.ConfirmedAgo)}
+	}
 	no.send(resp)
 }
 
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -28,10 +28,18 @@
 	// committed is the reference log: the entry first committed at each index.
 	committed map[uint64]consensus.Entry
 	// acked holds the index of each acknowledged command.
-	acked    map[string]uint64
+	acked map[string]uint64
+	// ackedAt lists the indexes of acknowledged commands in the order of their
+	// acknowledgement.
+	ackedAt  []simAck
 	proposed int
 }
 
+type simAck struct {
+	index uint64
+	at    time.Time
+}
+
 type simNode struct {
 	id          string
 	node        *consensus.Node
@@ -47,8 +55,14 @@
 	msg consensus.Message
 }
 
-// simTick is the virtual time that passes in one step.
-const simTick = 20 * time.Millisecond
+const (
+	// simTick is the virtual time that passes in one step.
+	simTick = 20 * time.Millisecond
+	// longDelayMillis limits the additional delay of a delayed message, and maxSimDelay
+	// the whole delay of any.
+	longDelayMillis = 1500
+	maxSimDelay     = longDelayMillis*time.Millisecond + 20*time.Millisecond
+)
 
 // newSim returns a simulation of a group with size voters.
 func newSim(t *testing.T, seed uint64, size int) *sim {
@@ -142,6 +156,7 @@
 	si.committed[entry.Index] = entry
 	if sn.node.Role() == consensus.RoleLeader && entry.Kind == consensus.EntryCommand {
 		si.acked[string(entry.Data)] = entry.Index
+		si.ackedAt = append(si.ackedAt, simAck{index: entry.Index, at: si.now})
 	}
 }
 
@@ -157,7 +172,7 @@
 	for range copies {
 		delay := time.Duration(1+si.rng.IntN(15)) * time.Millisecond
 		if si.rng.Float64() < 0.02 {
-			delay += time.Duration(si.rng.IntN(1500)) * time.Millisecond
+			delay += time.Duration(si.rng.IntN(longDelayMillis)) * time.Millisecond
 		}
 		si.inFlight = append(si.inFlight, simMessage{at: si.now.Add(delay), msg: msg})
 	}
@@ -190,6 +205,26 @@
 	}
 }
 
+// checkCurrent checks that no running node counts as current at a time without the
+// commands that were acknowledged before, apart from the delay of messages.
+func (si *sim) checkCurrent(seed uint64) {
+	for _, id := range si.ids {
+		sn := si.nodes[id]
+		if !sn.up || si.isFrozen(sn) {
+			continue
+		}
+		currentAt := sn.node.CurrentAt(si.now)
+		for _, ack := range slices.Backward(si.ackedAt) {
+			if ack.at.Before(currentAt.Add(-maxSimDelay)) {
+				if sn.node.Applied() < ack.index {
+					si.t.Fatalf("seed %d: %s counts as current at %s and has applied %d, but %d was acknowledged %s before", seed, id, currentAt, sn.node.Applied(), ack.index, currentAt.Sub(ack.at))
+				}
+				break
+			}
+		}
+	}
+}
+
 func (si *sim) isFrozen(sn *simNode) bool { return si.now.Before(sn.frozenUntil) }
 
 // leader returns a random running node in the leader role. During a partition there
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -96,8 +96,10 @@
 	Index   uint64  `codec:"i"`
 	LogTerm uint64  `codec:"l"`
 	Entries []Entry `codec:"e"`
-	// Commit is the leader's commit index.
-	Commit uint64 `codec:"c"`
+	// Commit is the leader's commit index, and ConfirmedAgo the time since a quorum
+	// confirmed that it is the newest one.
+	Commit       uint64        `codec:"c"`
+	ConfirmedAgo time.Duration `codec:"g"`
 	// ReadSeq is the sequence number of the leader's newest read request. A response
 	// returns the same number.
 	ReadSeq uint64 `codec:"r"`
--- a/core/settingsync/serve.go
+++ b/core/settingsync/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"cactusstream.example/core/link"
@@ -22,27 +23,44 @@
 	Version uint64 `codec:"version"`
 }
 
-// ErrNotCurrent reports a keeper that has lost contact with the leader: its
-// settings may be outdated, and a request that waits there would not receive newer
-// ones.
-var ErrNotCurrent = errors.New("settingsync: no contact with the leader; ask another keeper")
+// ErrNotCurrent reports a process whose settings may be outdated: a request that waits
+// there might not receive newer ones.
+var ErrNotCurrent = errors.New("settingsync: the settings are not known to be the newest; ask another keeper")
 
-// Serve registers the handler of MethodGet, which returns updates from a Replica.
-// While isCurrent returns false, requests that would wait for a newer version are
-// rejected with ErrNotCurrent. A nil isCurrent means that the Replica is always
-// current.
-func Serve(mux *link.Mux, rep *Replica, isCurrent func() bool) {
+// Serve registers the handler of MethodGet, which returns updates from a Replica. The
+// answer that there is nothing newer to a request that waits is given only while fresh
+// confirms it; otherwise, and as soon as that ends, the request is rejected with
+// ErrNotCurrent. A nil fresh never confirms it.
+func Serve(mux *link.Mux, rep *Replica, fresh *Freshness) {
 	cache := &encodedCache{}
 	link.Handle(mux, MethodGet, func(ctx context.Context, _ string, req Request) (EncodedUpdate, error) {
-		wait := min(time.Duration(req.WaitMS)*time.Millisecond, maxWait)
-		if wait > 0 && rep.Current().Version <= req.Have {
-			if isCurrent != nil && !isCurrent() {
-				return EncodedUpdate{}, ErrNotCurrent
+		if wait := min(time.Duration(req.WaitMS)*time.Millisecond, maxWait); wait > 0 {
+			if err := awaitNewer(ctx, rep, fresh, req.Have, wait); err != nil {
+				return EncodedUpdate{}, err
 			}
-			waitCtx, cancel := context.WithTimeout(ctx, wait)
-			defer cancel()
-			rep.Wait(waitCtx, req.Have)
 		}
 		return cache.since(rep, req.Have)
 	})
 }
+
+// awaitNewer returns when the Replica has a newer version than have, or after wait if
+// there is none. It returns ErrNotCurrent once it isn't known whether there is one.
+func awaitNewer(ctx context.Context, rep *Replica, fresh *Freshness, have uint64, wait time.Duration) error {
+	if fresh == nil {
+		fresh = NewFreshness(0)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for rep.Current().Version <= have {
+		select {
+		case <-rep.changed(have):
+		case <-fresh.Expired():
+			return ErrNotCurrent
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return fmt.Errorf("wait for settings: %w", ctx.Err())
+		}
+	}
+	return nil
+}
--- a/core/settingsync/settingsync.go
+++ b/core/settingsync/settingsync.go
@@ -78,6 +78,13 @@
 	ErrMissingChanges = errors.New("settingsync: changes do not follow the active version")
 )
 
+// closedChannel is returned for what has happened already.
+var closedChannel = func() chan struct{} {
+	channel := make(chan struct{})
+	close(channel)
+	return channel
+}()
+
 // NewReplica returns a Replica at version 0. Its Resolver returns the built-in
 // defaults, for components that run before the first settings arrive. The function
 // keys is called for each update, so that keys can be replaced.
@@ -145,22 +152,26 @@
 // Wait blocks until a version newer than the given one is active or the context
 // is done.
 func (re *Replica) Wait(ctx context.Context, have uint64) {
-	for {
-		re.mu.Lock()
-		newVersion := re.newVersion
-		version := re.current.Load().Version
-		re.mu.Unlock()
-		if version > have {
-			return
-		}
+	for re.Current().Version <= have {
 		select {
-		case <-newVersion:
+		case <-re.changed(have):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// changed returns a channel that is closed once a version newer than have is active, or
+// any other version than the current one.
+func (re *Replica) changed(have uint64) <-chan struct{} {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if re.current.Load().Version > have {
+		return closedChannel
+	}
+	return re.newVersion
+}
+
 func (re *Replica) hasValidSignature(upd Update) bool {
 	for _, key := range re.keys() {
 		if ed25519.Verify(key, signedMessage(upd.Version, upd.Digest), upd.Signature) {
