fix(follower): a daemon leaves a working keeper only for one that responds

Cause: a daemon remembered its keeper as a place in a list. The class: a position used as an identity.

Ruled out: a failure of the keepers that they left, which served other daemons all the while.

Change: the keeper is remembered by its address and kept until it fails. The preferred one is asked at intervals whether it is up to date, and used once it has said so.

Before and after: TestNewKeepersDoNotDelaySettings fails on the code before (version 2 not in force after 2 s). It passes now, and also checks that the daemon does return. TestFailedKeeperIsLeftAtOnce tested the removed value of the place; it now makes each of three keepers fail in turn and checks that the next one is asked and each version is in force in time, and the return to the preferred one is in the other test.

--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -13,7 +13,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,9 +42,6 @@
 	watchDuration = 800 * time.Millisecond
 	// watchMargin is added to watchDuration for the timeout of a long poll.
 	watchMargin = 700 * time.Millisecond
-	// preferInterval is how long a daemon stays with another keeper before it tries
-	// its preferred one again.
-	preferInterval = 30 * time.Second
 )
 
 // Options configures a Follower.
@@ -75,11 +71,14 @@
 	// confirmedAt is when a keeper last answered a poll: either with newer settings, or
 	// that there are none. It is the zero time until then.
 	confirmedAt atomic.Pointer[time.Time]
+	// preferInterval is the time after which a daemon that waits at another keeper asks
+	// its preferred one again.
+	preferInterval time.Duration
 }
 
 // New returns a Follower.
 func New(opts Options) *Follower {
-	fo := &Follower{opts: opts}
+	fo := &Follower{opts: opts, preferInterval: defaultPreferInterval}
 	fo.confirmedAt.Store(&time.Time{})
 	return fo
 }
@@ -135,56 +134,6 @@
 	}
 }
 
-// watchKeepers long-polls a keeper, so that changes arrive without delay. It
-// starts with the first one and moves to the next one after an error; after
-// preferInterval it returns to the first.
-func (fo *Follower) watchKeepers(ctx context.Context) {
-	var turn keeperTurn
-	var polled string
-	var failure error
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		if keepers := fo.opts.Keepers(); len(keepers) > 0 {
-			keeper := keepers[turn.current(time.Now())%len(keepers)]
-			if keeper != polled {
-				fo.logSource(keeper, polled, failure)
-			}
-			polled = keeper
-			if failure = fo.pull(ctx, keeper, watchDuration, wayPoll); failure == nil {
-				backoff = minBackoff
-				continue
-			}
-		}
-		turn.advance(time.Now())
-		fo.sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-// keeperTurn selects the keeper to poll, by its position in the order of preference. The
-// zero value selects the first one.
-type keeperTurn struct {
-	index int
-	// leftAt is when the first one was left.
-	leftAt time.Time
-}
-
-// current returns the position of the keeper to poll.
-func (tu *keeperTurn) current(now time.Time) int {
-	if tu.index > 0 && now.Sub(tu.leftAt) > preferInterval {
-		tu.index = 0
-	}
-	return tu.index
-}
-
-// advance moves to the next keeper after an error.
-func (tu *keeperTurn) advance(now time.Time) {
-	if tu.index == 0 {
-		tu.leftAt = now
-	}
-	tu.index++
-}
-
 // sleep waits for a duration or until the context ends.
 func (fo *Follower) sleep(ctx context.Context, duration time.Duration) {
 	select {
@@ -250,13 +199,3 @@
 	}
 	return nil
 }
-
-// logSource logs that another keeper is polled than before, and the failure of the poll
-// before, if that is the reason.
-func (fo *Follower) logSource(keeper, before string, failure error) {
-	fields := logrus.Fields{"keeper": keeper, "before": before}
-	if failure != nil {
-		fields["error"] = failure.Error()
-	}
-	fo.opts.Log.Write(events.SettingsSource, fields)
-}
