--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -34,9 +34,8 @@
 	leaderContactAt time.Time
 	// now is the time of the current event.
 	now time.Time
-	// upToDate is the newest evidence that this node, as a follower, has all committed
-	// entries: the commit index of a leader whose log it matched.
-	upToDate evidence
+	// leaderCommit is what the last append of a leader said about the commit index.
+	leaderCommit evidence
 	// quorumContactAt is when the leader last had responses from a quorum within the
 	// election timeout.
 	quorumContactAt time.Time
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -51,7 +51,7 @@
 // CurrentAt returns the newest time at which this node is known to have had all entries
 // committed by then, which it has applied now. It returns the zero time if there is none.
 func (no *Node) CurrentAt(now time.Time) time.Time {
-	known := no.upToDate
+	known := no.leaderCommit
 	if no.role == RoleLeader {
 		known = evidence{index: no.commit, at: no.confirmedAt(now)}
 	}
@@ -228,9 +228,7 @@
 	no.storeEntries(msg.Entries)
 	resp.Match = msg.Index + uint64(len(msg.Entries))
 	no.commit = max(no.commit, min(msg.Commit, resp.Match))
-	if resp.Match >= msg.Commit {
-		no.upToDate = evidence{index: msg.Commit, at: now.Add(-msg.ConfirmedAgo)}
-	}
+	no.leaderCommit = evidence{index: msg.Commit, at: now.Add(-msg.ConfirmedAgo)}
 	no.send(resp)
 }
 
