fix(follower): the delays of failing keepers don't add up

Cause: a daemon asked one keeper after the other. A silent one took 1.5 s, each failure was followed by a growing pause of up to 1.5 s, and after an outage of all keepers the first request to each of them failed, because its link was a dead one from before. Two such failures in a row pass 2 s; the five after a power loss took up to 3.2 s. What helped by chance was gossip. The class: steps with a time limit each, and none for all of them together.

Change: a long poll without a response 0.2 s after its time starts a search: the keepers are asked in order whether there are newer settings, the next one after a failure at once and otherwise after 0.2 s, while the one before may still respond. A search that finds none is repeated after 0.15 to 0.45 s. So a version is in force 1.0 s + 0.2 s for each silent keeper after the last sign of life.

--- a/cactusd/internal/follower/failover_test.go
+++ b/cactusd/internal/follower/failover_test.go
@@ -106,6 +106,21 @@
 	t.Logf("version %d in force after %s", version, time.Since(start).Round(time.Millisecond))
 }
 
+// TestSilentKeepersDoNotDelaySettings makes two keepers of five silent while the daemon
+// waits at the first of them, as many as the fleet tolerates. The next version must be in
+// force in time, although no peer has it.
+func TestSilentKeepersDoNotDelaySettings(t *testing.T) {
+	tokens := auth.NewTokens("a-token-for-the-tests")
+	gr := startKeepers(t, tokens, 5)
+	gr.publish(t, 1)
+	replica := gr.follow(t, tokens, func() []string { return gr.addresses })
+	time.Sleep(100 * time.Millisecond) // The daemon has begun to wait.
+	gr.silent[0].Store(true)
+	gr.silent[1].Store(true)
+	gr.publish(t, 2)
+	awaitVersion(t, replica, 2, maxSettingsDelay)
+}
+
 // TestNewKeepersDoNotDelaySettings puts two keepers in front of the one at which a daemon
 // waits, as when restarted keepers of its zone come back to the member table. They don't
 // respond yet. The daemon must not leave the keeper that does before they have.
--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -26,8 +26,7 @@
 
 const (
 	startTimeout     = time.Second
-	minBackoff       = 200 * time.Millisecond
-	maxBackoff       = time.Second
+	startInterval    = 200 * time.Millisecond
 	peerPollInterval = 300 * time.Millisecond
 	pullTimeout      = 5 * time.Second
 	// A peer that does not respond for hedgeDelay is not waited for: another one is
@@ -35,13 +34,6 @@
 	// everywhere within 2 s, but large ones take longer than hedgeDelay on a slow link.
 	hedgeDelay   = 400 * time.Millisecond
 	maxPeerPulls = 3
-	// watchDuration is the duration of one long poll. A keeper that is
-	// partitioned from the others rejects the next poll, so this limits how
-	// long a daemon misses changes. It is well under the 2 s that a platform
-	// allows.
-	watchDuration = 800 * time.Millisecond
-	// watchMargin is added to watchDuration for the timeout of a long poll.
-	watchMargin = 700 * time.Millisecond
 )
 
 // Options configures a Follower.
@@ -91,7 +83,7 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for _, address := range append(fo.opts.Keepers(), fo.opts.Seeds()...) {
-		group.Go(func() { _ = fo.pull(ctx, address, 0, wayStart) })
+		group.Go(func() { _ = fo.pull(ctx, address, 0, startTimeout, wayStart) })
 	}
 	group.Wait()
 }
@@ -102,7 +94,7 @@
 	go fo.watchKeepers(ctx)
 	for ctx.Err() == nil && fo.opts.Replica.Current().Version == 0 {
 		fo.Start(ctx)
-		fo.sleep(ctx, minBackoff)
+		fo.sleep(ctx, startInterval)
 	}
 	fo.watchPeers(ctx)
 }
@@ -124,7 +116,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer func() { close(done); <-pulls }()
-			_ = fo.pull(ctx, address, 0, wayPeer) // Logged there; another peer is asked next.
+			_ = fo.pull(ctx, address, 0, pullTimeout, wayPeer) // Logged there; another peer is asked next.
 		}()
 		select {
 		case <-done:
@@ -145,11 +137,7 @@
 // pull fetches newer settings from one process and applies them. If there are
 // none, the process holds the request for up to wait. If the update doesn't
 // match the current settings, pull fetches all settings instead.
-func (fo *Follower) pull(ctx context.Context, address string, wait time.Duration, way string) error {
-	timeout := pullTimeout
-	if wait > 0 {
-		timeout = wait + watchMargin
-	}
+func (fo *Follower) pull(ctx context.Context, address string, wait, timeout time.Duration, way string) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	have := fo.opts.Replica.Current().Version
