--- a/cactusd/internal/follower/failover_test.go
+++ b/cactusd/internal/follower/failover_test.go
@@ -31,7 +31,9 @@
 	replica   *settingsync.Replica
 	addresses []string
 	silent    []*atomic.Bool
-	polled    []*atomic.Int64
+	// polled counts the requests to each keeper, and longPolled those that wait.
+	polled     []*atomic.Int64
+	longPolled []*atomic.Int64
 }
 
 func startKeepers(t *testing.T, tokens *auth.Tokens, size int) *keeperGroup {
@@ -41,13 +43,16 @@
 	fresh := settingsync.NewFreshness(time.Hour)
 	fresh.Confirm(time.Now())
 	for range size {
-		silent, polled := &atomic.Bool{}, &atomic.Int64{}
+		silent, polled, longPolled := &atomic.Bool{}, &atomic.Int64{}, &atomic.Int64{}
 		inner := startPeer(t, tokens, func(mux *link.Mux) { settingsync.Serve(mux, gr.replica, fresh) })
 		pool := link.NewPool("keeper", tokens, link.NewMux())
 		t.Cleanup(pool.Close)
 		gr.addresses = append(gr.addresses, startPeer(t, tokens, func(mux *link.Mux) {
 			link.Handle(mux, settingsync.MethodGet, func(ctx context.Context, _ string, req settingsync.Request) (settingsync.EncodedUpdate, error) {
 				polled.Add(1)
+				if req.WaitMS > 1 {
+					longPolled.Add(1)
+				}
 				if !silent.Load() {
 					upd, err := link.Call[settingsync.Request, settingsync.EncodedUpdate](ctx, pool, inner, settingsync.MethodGet, req)
 					if !silent.Load() {
@@ -58,7 +63,7 @@
 				return settingsync.EncodedUpdate{}, ctx.Err()
 			})
 		}))
-		gr.silent, gr.polled = append(gr.silent, silent), append(gr.polled, polled)
+		gr.silent, gr.polled, gr.longPolled = append(gr.silent, silent), append(gr.polled, polled), append(gr.longPolled, longPolled)
 	}
 	return gr
 }
@@ -140,15 +145,15 @@
 		awaitVersion(t, replica, version, maxSettingsDelay)
 	}
 	is := is.New(t)
-	is.True(gr.polled[0].Load() > 0) // The preferred one is asked now and then.
+	is.True(gr.polled[0].Load() > 0)            // The preferred one is asked now and then.
+	is.Equal(gr.longPolled[0].Load(), int64(0)) // No wait began there.
+	is.Equal(gr.longPolled[1].Load(), int64(0))
 
 	gr.silent[0].Store(false)
 	waiting := gr.polled[2].Load()
 	time.Sleep(3 * preferInterval)
 	is.True(gr.polled[2].Load()-waiting < 5) // The daemon has moved to the preferred one, which responds now.
-	before := gr.polled[0].Load()
-	time.Sleep(time.Second)
-	is.True(gr.polled[0].Load() > before)
+	is.True(gr.longPolled[0].Load() > 0)
 	gr.publish(t, 6)
 	awaitVersion(t, replica, 6, maxSettingsDelay)
 }
