fix(daemon): keepers that membership considers dead are asked too

Cause: a daemon asked only the keepers that its member table considers alive. After an outage of all keepers of 7 s or more there are none, and the daemon depends on gossip: a table is synchronized with one random dead member each 5 to 15 s, and the news spreads from there. The class: a hint used as a fact.

Ruled out: the search itself (0.65 s at most where the table still held the keepers).

Change: dead keepers are asked last, after the live and the configured ones and the seeds. The order is a function of its own.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -257,33 +257,9 @@
 	return !da.stopping.Load() && da.replica.Current().Version > 0
 }
 
-// keepers returns the addresses of the keepers of this daemon's zone, and then those of
-// the others and of the options, starting with a different one in each daemon.
+// keepers returns the addresses of the keepers in the order in which to ask them.
 func (da *Daemon) keepers() []string {
-	var near, far []string
-	for _, rec := range da.fleet.View().Keepers {
-		if rec.Zone == da.opts.Config.Zone {
-			near = append(near, rec.PeerAddress)
-		} else {
-			far = append(far, rec.PeerAddress)
-		}
-	}
-	for _, address := range da.opts.Keepers {
-		if !slices.Contains(near, address) && !slices.Contains(far, address) {
-			far = append(far, address)
-		}
-	}
-	return append(da.rotate(near), da.rotate(far)...)
-}
-
-// rotate returns a list that starts at an element that depends on the start of the daemon,
-// so that daemons are distributed over equal choices.
-func (da *Daemon) rotate(list []string) []string {
-	if len(list) == 0 {
-		return nil
-	}
-	first := int(da.started.UnixNano() % int64(len(list)))
-	return slices.Concat(list[first:], list[:first])
+	return keeperAddresses(da.fleet.View(), da.opts.Config.Zone, append(slices.Clone(da.opts.Keepers), da.opts.Seeds()...), da.started.UnixNano())
 }
 
 // publishUpstreams updates this daemon's upstreams in the member table.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -57,8 +57,10 @@
 	Pools           map[string]*Pool
 	Members         map[string]member.Record
 	SettingsVersion uint64
-	// Keepers holds the records of the keepers that are neither dead nor left.
-	Keepers []member.Record
+	// Keepers holds the records of the keepers that are neither dead nor left, and
+	// DeadKeepers those of the dead ones.
+	Keepers     []member.Record
+	DeadKeepers []member.Record
 	// Daemons is the number of daemons that are neither dead nor left.
 	Daemons int
 	// revision is the revision of the member table that the view was built from.
@@ -73,8 +75,12 @@
 		if rec.Status == member.Left {
 			continue
 		}
-		if rec.Keeper && rec.Status < member.Dead {
+		switch {
+		case !rec.Keeper:
+		case rec.Status < member.Dead:
 			vi.Keepers = append(vi.Keepers, rec)
+		default:
+			vi.DeadKeepers = append(vi.DeadKeepers, rec)
 		}
 		if !rec.Keeper && rec.Status < member.Dead {
 			vi.Daemons++
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -105,3 +105,23 @@
 	is.Equal(states["daemon-0002"], StateHeldByFloor)
 	is.Equal(states["daemon-0000"], StateReady)
 }
+
+// TestViewKeepsDeadKeepers checks that dead keepers are kept apart from live ones, and
+// that keepers that have left aren't kept.
+func TestViewKeepsDeadKeepers(t *testing.T) {
+	is := is.New(t)
+	var list []member.Record
+	for _, status := range []member.Status{member.Alive, member.Suspect, member.Dead, member.Left} {
+		list = append(list, member.Record{ID: status.String(), Keeper: true, Status: status}, member.Record{ID: "daemon-" + status.String(), Status: status})
+	}
+	vi := newView(list, 1, func(string) *settings.Policy { return &settings.Policy{} }, 1)
+	ids := func(records []member.Record) []string {
+		var names []string
+		for _, rec := range records {
+			names = append(names, rec.ID)
+		}
+		return names
+	}
+	is.Equal(ids(vi.Keepers), []string{"alive", "suspect"})
+	is.Equal(ids(vi.DeadKeepers), []string{"dead"})
+}
