fix(ingress): a route that newer settings may have is not denied

Cause: a daemon answered 404 from whatever settings it had, also while no keeper confirmed that these were the newest. Callers don't retry after a 404. The class: a negative answer from knowledge of unknown age.

Known routes are served as before: during an outage of the keepers the fleet goes on with what it has.

Before and after: TestUnknownRouteInUnconfirmedSettingsIs503 fails on the code before (404).

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -144,6 +144,7 @@
 		Clock:  opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
 		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
 		Services: opts.ServiceTokens, View: da.fleet.View, Zone: opts.Config.Zone,
+		SettingsConfirmed: func() bool { return da.follower.IsConfirmed() },
 	}
 	if opts.Claims != nil {
 		da.claims = claims.New(claims.Options{
--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -34,6 +34,9 @@
 	// everywhere within 2 s, but large ones take longer than hedgeDelay on a slow link.
 	hedgeDelay   = 400 * time.Millisecond
 	maxPeerPulls = 3
+	// confirmedFor is how long the settings count as confirmed: the time between two
+	// polls, and that of a search for another keeper.
+	confirmedFor = 1500 * time.Millisecond
 )
 
 // Options configures a Follower.
@@ -88,6 +91,12 @@
 	group.Wait()
 }
 
+// IsConfirmed reports whether a keeper has confirmed lately that the settings are the
+// newest.
+func (fo *Follower) IsConfirmed() bool {
+	return time.Since(*fo.confirmedAt.Load()) < confirmedFor
+}
+
 // Run polls a keeper and fetches from daemons with newer settings, until the
 // context ends.
 func (fo *Follower) Run(ctx context.Context) {
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -71,8 +71,11 @@
 	Place    string
 	Runner   Runner
 	Services *auth.Tokens
-	View     func() *fleet.View
-	Zone     string
+	// SettingsConfirmed reports whether a keeper has confirmed lately that the settings
+	// are the newest. It is nil if that is always the case.
+	SettingsConfirmed func() bool
+	View              func() *fleet.View
+	Zone              string
 }
 
 // Ingress is the HTTP handler for callers' requests. It is safe for concurrent
@@ -202,6 +205,9 @@
 	firm := headerOr(httpReq.Header, outcome.HeaderFirm, in.opts.Firm)
 	place := headerOr(httpReq.Header, outcome.HeaderPlace, in.opts.Place)
 	path, found := current.Resolver.Routes().Find(settings.Request{Firm: firm, Place: place, Host: httpReq.Host, Method: httpReq.Method, Path: httpReq.URL.Path})
+	if !found && in.opts.SettingsConfirmed != nil && !in.opts.SettingsConfirmed() {
+		return req, req.reject(outcome.NoSettings, "no kind of request matches this method and path, but the settings may be outdated")
+	}
 	if !found {
 		return req, req.reject(outcome.NoRoute, "no configured kind of request matches this method and path")
 	}
--- a/cactusd/internal/ingress/platform_dialect_test.go
+++ b/cactusd/internal/ingress/platform_dialect_test.go
@@ -71,7 +71,7 @@
 // newPlatformIngress returns an ingress with the strict dialect of a platform
 // and a pool of four upstreams, of which the first two are in its own
 // availability zone.
-func newPlatformIngress(t testing.TB, runner *estimatingRunner, replica *settingsync.Replica) *ingress.Ingress {
+func newPlatformIngress(t testing.TB, runner *estimatingRunner, replica *settingsync.Replica, edits ...func(*ingress.Options)) *ingress.Ingress {
 	t.Helper()
 	pool := &fleet.Pool{Name: "s"}
 	for number, zone := range []string{"z", "z", "y", "y"} {
@@ -81,12 +81,16 @@
 		})
 	}
 	view := &fleet.View{Pools: map[string]*fleet.Pool{"s": pool}, Daemons: 1}
-	return ingress.New(ingress.Options{
+	opts := ingress.Options{
 		Bodies:  bodybuffer.New(16 << 20),
 		Dialect: dialect.Caller{Deadline: "X-Left", Request: "X-Id", Origin: "X-From", OriginService: "own", OmitsDetails: true, StrictRejections: true},
 		Clock:   clock.Real{}, Firm: "*", Place: "*", Replica: replica, Log: events.Discard(), Metrics: metrics.NewRegistry(),
 		Runner: runner, View: func() *fleet.View { return view }, Zone: "z",
-	})
+	}
+	for _, edit := range edits {
+		edit(&opts)
+	}
+	return ingress.New(opts)
 }
 
 func newPlatformSettings() *settings.Tree {
@@ -170,6 +174,22 @@
 	is.Equal(sendRequest(newPlatformIngress(t, &estimatingRunner{}, newReplica(t, newPlatformSettings())), "/nowhere/", "1000", "").Code, 404)
 }
 
+// TestUnknownRouteInUnconfirmedSettingsIs503 checks that a daemon that may have missed
+// newer settings doesn't deny a route that they may have: callers don't retry after a 404.
+func TestUnknownRouteInUnconfirmedSettingsIs503(t *testing.T) {
+	is := is.New(t)
+	confirmed := false
+	in := newPlatformIngress(t, &estimatingRunner{estimate: noWait, answer: succeed}, newReplica(t, newPlatformSettings()), func(opts *ingress.Options) {
+		opts.SettingsConfirmed = func() bool { return confirmed }
+	})
+	rec := sendRequest(in, "/nowhere/", "1000", "")
+	is.Equal(rec.Code, 503)
+	is.True(rec.Header().Get("Retry-After") != "")
+	is.Equal(sendRequest(in, "/look/", "1000", "").Code, 200) // A known route is served all the same.
+	confirmed = true
+	is.Equal(sendRequest(in, "/nowhere/", "1000", "").Code, 404)
+}
+
 func TestShortestWaitEstimateIsChosen(t *testing.T) {
 	is := is.New(t)
 	runner := &estimatingRunner{answer: succeed, estimate: func(endpoint fleet.Endpoint) (wire.WaitEstimate, error) {
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -67,7 +67,8 @@
 	RetryBudgetExhausted Reason = "noRepeats"
 	// NoRoute means that no kind of request matches the method and path.
 	NoRoute Reason = "noRoute"
-	// NoSettings means that the daemon has not received its settings yet.
+	// NoSettings means that the daemon has not received its settings yet, or doesn't know
+	// the route and can't tell whether newer settings have it.
 	NoSettings Reason = "noSettings"
 	// NoUpstream means that no upstream of the service is available.
 	NoUpstream Reason = "noUpstream"
