feat(gate): logs tell which limit an upstream names

Event 308 and the dump of a gate tell which limit an upstream names, so that logs show whether requests passed before the gate knew it, after it, or after a restart. The header's name is part of the upstreams' dialect.

--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -57,6 +57,8 @@
 	leaving       bool
 	leftAt        time.Time
 	trialInFlight bool
+	// limit is the number of requests per second that the upstream takes, or noLimit.
+	limit float64
 	// suspected and lastState are the values that were logged last.
 	suspected bool
 	lastState health.State
@@ -77,6 +79,7 @@
 		readyAt:     now.Add(ann.WarmUp),
 		renewedAt:   now,
 		sequence:    ann.Sequence,
+		limit:       noLimit,
 	}
 }
 
@@ -375,6 +378,7 @@
 	now := gu.opts.Clock.Now()
 	took := now.Sub(started)
 	changed := false
+	gu.updateLimit(sent.limit)
 	if !sent.cancelled {
 		gu.observeResult(now, started, req, sent)
 		changed = gu.updateSuspicion(now) // Before the slot goes to a queued request.
@@ -471,6 +475,6 @@
 	return map[string]any{
 		"id": gu.ann.ID, "service": gu.ann.Service, "address": gu.ann.Address, "slots": gu.ann.Slots,
 		"state": rec.State.String(), "reason": rec.Reason, "running": gu.queue.Running(),
-		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.detector.ErrorRate(), "boutEstimate": gu.burstFilter.Estimate(gu.opts.Clock.Now()), "reportedBusy": gu.reportedBusy, "repeatsLeft": gu.load(gu.opts.Clock.Now()).RetriesLeft,
+		"waitingByRank": gu.queue.Waiting(), "errorRate": gu.detector.ErrorRate(), "boutEstimate": gu.burstFilter.Estimate(gu.opts.Clock.Now()), "reportedBusy": gu.reportedBusy, "limit": gu.limit, "repeatsLeft": gu.load(gu.opts.Clock.Now()).RetriesLeft,
 	}
 }
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -53,6 +53,8 @@
 	unreachable bool
 	// misdirected reports that a different upstream answers at the address.
 	misdirected bool
+	// limit is what the answer says about a limit on the upstream's requests.
+	limit limitReport
 }
 
 var (
@@ -262,13 +264,17 @@
 	if up.reportsNotRun(resp) {
 		up.bodies.Release(body)
 		misdirected := resp.StatusCode == http.StatusMisdirectedRequest
-		return wire.NotRun(outcome.UpstreamRejected, "the upstream rejected the request"), sendResult{rejected: !misdirected, misdirected: misdirected}
+		res := sendResult{rejected: !misdirected, misdirected: misdirected}
+		if !misdirected {
+			res.limit = up.readLimit(resp.Header, true)
+		}
+		return wire.NotRun(outcome.UpstreamRejected, "the upstream rejected the request"), res
 	}
 	busy := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	rejected := busy && resp.Header.Get("Retry-After") != ""
 	failed := resp.StatusCode >= http.StatusInternalServerError && !rejected
 	answer := wire.RunAnswer{Outcome: outcome.Ran, Status: resp.StatusCode, Header: header, Body: body}
-	return answer, sendResult{failed: failed, rejected: rejected}
+	return answer, sendResult{failed: failed, rejected: rejected, limit: up.readLimit(resp.Header, rejected)}
 }
 
 // reportsNotRun reports whether the response states that the upstream did not
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -51,6 +51,10 @@
 	// NotRun is the header by which an upstream reports, with any value, that it did
 	// not run the request. If it is empty, the header Cactus-Outcome is used.
 	NotRun string
+	// Limit is the header by which an upstream names in each answer, for as long as it
+	// is in need, the requests per second that it takes from all callers together, as a
+	// decimal number.
+	Limit string
 	// AllowsCloseDelimited accepts answers without a length, which end when the
 	// connection is closed.
 	AllowsCloseDelimited bool
@@ -63,9 +67,12 @@
 
 // DefaultUpstream returns the contract of the product with upstreams.
 func DefaultUpstream() Upstream {
-	return Upstream{Attempt: HeaderAttempt, Deadline: outcome.HeaderDeadline}
+	return Upstream{Attempt: HeaderAttempt, Deadline: outcome.HeaderDeadline, Limit: HeaderLimit}
 }
 
 // HeaderAttempt is the header with the id of an attempt. If an upstream returns it in
 // its answers, the gate can match answers to attempts and reuse connections.
 const HeaderAttempt = "Cactus-Attempt"
+
+// HeaderLimit is the header by which upstreams of the product limit their requests.
+const HeaderLimit = "Cactus-Limit"
