fix(gate): an upstream gets no more requests than the limit that it names

Cause: nothing in the fleet read the limit; slots bound the concurrency of an upstream and not its rate. The class: a signal of the other side that is passed on and not heard.

The gate beside the upstream starts requests at the rate of the limit; wait estimates, ranks, shares and deadlines hold as for slots; ingresses send the last limit that they know along, so that a gate that has restarted keeps to it before its upstream has answered.

--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -59,6 +59,10 @@
 	trialInFlight bool
 	// limit is the number of requests per second that the upstream takes, or noLimit.
 	limit float64
+	// limitLearned is set once an answer of the upstream has told whether there is one.
+	limitLearned bool
+	// startTimer runs startQueued when the limit allows the next request.
+	startTimer *time.Timer
 	// suspected and lastState are the values that were logged last.
 	suspected bool
 	lastState health.State
@@ -256,6 +260,7 @@
 	now := gu.opts.Clock.Now()
 	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Target: targetTime(now, req.TargetRemaining), LastResort: req.LastResort, AttemptID: req.Attempt, OnDecision: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
+	gu.adoptLimit(now, req.KnownLimit)
 	rejection, rejected := gu.checkAdmission(now, req)
 	if !rejected && req.Retry && !gu.retryBudget.Admit(now, gu.budgetPolicy(), retryOf(req.Rank, req.AfterTrial)) {
 		rejection, rejected = wire.NotRun(outcome.RetryBudgetExhausted, "the retry budget of the service is exhausted"), true
@@ -267,6 +272,7 @@
 	}
 	item.ExpectedDuration = gu.expectedTime(req.Kind)
 	dec := gu.queue.Add(now, item)
+	gu.scheduleStart(now)
 	gu.mu.Unlock()
 	if dec == rankqueue.Wait {
 		dec = gu.awaitSlot(ctx, item, decided)
@@ -276,7 +282,7 @@
 		return wire.RunAnswer{}, false
 	}
 	gu.endTrial(req)
-	return gu.rejection(dec), true
+	return gu.rejection(dec, item), true
 }
 
 // checkAdmission reports whether the request is rejected before it is queued.
@@ -335,9 +341,13 @@
 }
 
 // rejection returns the answer to a request that the queue rejected.
-func (gu *guard) rejection(dec rankqueue.Decision) wire.RunAnswer {
+func (gu *guard) rejection(dec rankqueue.Decision, item *rankqueue.Item) wire.RunAnswer {
 	gu.mu.Lock()
 	leaving := gu.leaving
+	retryAfter := time.Second
+	if gu.queue.Limit() > 0 {
+		retryAfter = gu.queue.EstimateWait(gu.opts.Clock.Now(), item)
+	}
 	gu.mu.Unlock()
 	if leaving {
 		return wire.NotRun(outcome.Stopping, "the upstream is leaving")
@@ -353,7 +363,7 @@
 	if dec == rankqueue.RejectDeadline {
 		answer = wire.NotRun(outcome.Overloaded, "the deadline would expire in the queue")
 	}
-	answer.RetryAfter = time.Second
+	answer.RetryAfter = retryAfter
 	return answer
 }
 
@@ -378,7 +388,7 @@
 	now := gu.opts.Clock.Now()
 	took := now.Sub(started)
 	changed := false
-	gu.updateLimit(sent.limit)
+	gu.updateLimit(now, sent.limit)
 	if !sent.cancelled {
 		gu.observeResult(now, started, req, sent)
 		changed = gu.updateSuspicion(now) // Before the slot goes to a queued request.
@@ -388,6 +398,7 @@
 		held = 0 // Not counted in the averages behind the wait estimates.
 	}
 	gu.queue.Release(now, req.Rank, held)
+	gu.scheduleStart(now)
 	if !sent.rejected && !sent.cancelled {
 		gu.detector.ObserveEnd(now, req.Baseline, res)
 		if !res.Failed {
@@ -440,7 +451,7 @@
 
 // load returns the upstream's current load. The caller holds the lock.
 func (gu *guard) load(now time.Time) wire.Load {
-	load := wire.Load{Running: gu.queue.Running(), Suspected: gu.burstFilter.IsSuspected(now), RetriesLeft: gu.retryBudget.Left(now, gu.budgetPolicy())}
+	load := wire.Load{Running: gu.queue.Running(), Limit: gu.reportedLimit(), Suspected: gu.burstFilter.IsSuspected(now), RetriesLeft: gu.retryBudget.Left(now, gu.budgetPolicy())}
 	for _, count := range gu.queue.Waiting() {
 		load.Queued += count
 	}
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -131,6 +131,7 @@
 	run.Upstream = chosen.endpoint.Upstream.ID
 	run.Trial, run.LastResort, run.Retry, run.AfterTrial = chosen.trial, chosen.lastResort, req.isRetry(), req.afterTrial
 	run.Remaining, run.TargetRemaining = req.deadline.Sub(now)-responseMargin, req.remainingTarget(now)
+	run.KnownLimit = in.tracker.limit(chosen.endpoint.Key)
 	run.Baseline = in.tracker.baseline(now, in.siblings(req.path.Service, chosen.endpoint.Key), run.Kind)
 	if run.Remaining <= 0 {
 		return wire.NotRun(outcome.Deadline, "the deadline has passed")
--- a/cactusd/internal/ingress/platform_dialect_test.go
+++ b/cactusd/internal/ingress/platform_dialect_test.go
@@ -190,6 +190,28 @@
 	is.Equal(sendRequest(in, "/nowhere/", "1000", "").Code, 404)
 }
 
+// TestLimitOfUpstreamIsPassedOn checks that a gate learns the limit of its upstream from the
+// ingresses that know it: it may have restarted since the upstream named it.
+func TestLimitOfUpstreamIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	var reported float64
+	var passedOn []float64
+	runner := &estimatingRunner{estimate: noWait, answer: func(_ fleet.Endpoint, req wire.RunRequest) (wire.RunAnswer, error) {
+		passedOn = append(passedOn, req.KnownLimit)
+		return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusOK, Header: wire.Header{}, Load: wire.Load{Limit: reported}}, nil
+	}}
+	in := newPlatformIngress(t, runner, newReplica(t, newPlatformSettings()), func(opts *ingress.Options) {
+		pool := &fleet.Pool{Name: "s", Endpoints: []fleet.Endpoint{{Key: "d0/u", Daemon: "d0", Zone: "z", State: fleet.StateReady, Upstream: member.Upstream{ID: "u", Service: "s", Slots: 5}}}}
+		opts.View = func() *fleet.View {
+			return &fleet.View{Pools: map[string]*fleet.Pool{"s": pool}, Daemons: 1}
+		}
+	})
+	for _, reported = range []float64{2.5, 0, wire.NoLimit, 0} { // 0 is that of a gate that knows nothing.
+		is.Equal(sendRequest(in, "/cut/7", "2000", "x").Code, 200)
+	}
+	is.Equal(passedOn, []float64{0, 2.5, 2.5, wire.NoLimit})
+}
+
 func TestShortestWaitEstimateIsChosen(t *testing.T) {
 	is := is.New(t)
 	runner := &estimatingRunner{answer: succeed, estimate: func(endpoint fleet.Endpoint) (wire.WaitEstimate, error) {
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -58,7 +58,9 @@
 	// retriesLeft is the number of retries left in the gate's budget at its last
 	// report.
 	retriesLeft int
-	stats       map[string]timedStats
+	// limit is the last Load.Limit that wasn't 0.
+	limit float64
+	stats map[string]timedStats
 }
 
 func (en *endpointState) updateLoad(now time.Time, load wire.Load) {
@@ -67,6 +69,9 @@
 	en.suspected = load.Suspected
 	en.trialAt = now.Add(load.TrialIn)
 	en.retriesLeft = load.RetriesLeft
+	if load.Limit != 0 {
+		en.limit = load.Limit
+	}
 }
 
 type timedStats struct {
@@ -169,6 +174,17 @@
 	}
 }
 
+// limit returns the last known wire.Load.Limit of an endpoint. It doesn't expire: only an
+// answer of the upstream can tell that it has ended.
+func (tr *tracker) limit(key string) float64 {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if state := tr.endpoints[key]; state != nil {
+		return state.limit
+	}
+	return 0
+}
+
 // load estimates the number of requests that an endpoint has.
 func (tr *tracker) load(now time.Time, key string) float64 {
 	tr.mu.Lock()
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -51,6 +51,8 @@
 	TargetRemaining time.Duration `codec:"c,omitempty"`
 	Retry           bool          `codec:"e,omitempty"`
 	AfterTrial      bool          `codec:"g,omitempty"`
+	// KnownLimit is as in RunRequest.
+	KnownLimit float64 `codec:"v,omitempty"`
 }
 
 // WaitEstimate is the expected time in the queue for a slot (Wait) and the usual
@@ -87,13 +89,16 @@
 	Retry bool `codec:"j,omitempty"`
 	// AfterTrial means that the attempt before this retry was a failed trial
 	// request. Part of the retry budget is reserved for such retries.
-	AfterTrial bool   `codec:"g,omitempty"`
-	Method     string `codec:"m"`
-	Host       string `codec:"o,omitempty"`
-	URI        string `codec:"p"`
-	Header     Header `codec:"h"`
-	Body       []byte `codec:"b"`
-	BodyLimit  int    `codec:"l"`
+	AfterTrial bool `codec:"g,omitempty"`
+	// KnownLimit is the last known Load.Limit of the upstream. A gate that has restarted
+	// learns it so.
+	KnownLimit float64 `codec:"v,omitempty"`
+	Method     string  `codec:"m"`
+	Host       string  `codec:"o,omitempty"`
+	URI        string  `codec:"p"`
+	Header     Header  `codec:"h"`
+	Body       []byte  `codec:"b"`
+	BodyLimit  int     `codec:"l"`
 	// Remaining, TargetRemaining and Target are durations rather than times, so the
 	// daemons' clocks need not be synchronized. Target is the target latency of
 	// the request's kind, and TargetRemaining the part of it that is left.
@@ -114,8 +119,14 @@
 	// RetriesLeft is the number of retries that the retry budget currently allows for
 	// the upstream.
 	RetriesLeft int `codec:"b,omitempty"`
+	// Limit is the number of requests per second that the upstream takes, NoLimit if it
+	// has named none, or 0 if that is unknown.
+	Limit float64 `codec:"m,omitempty"`
 }
 
+// NoLimit is the value of Load.Limit for an upstream that has named no limit.
+const NoLimit = -1
+
 // Stats holds the latency and the error rate of an upstream for one kind of
 // request.
 type Stats struct {
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -17,11 +17,15 @@
 //
 //	dec := que.Add(now, item)          // run, wait or a rejection
 //	que.Release(now, item.Rank, took)  // releases the slot and starts queued items
+//	que.SetLimit(now, 2.5)             // the upstream takes 2.5 requests per second
+//	wait, ok := que.NextStart(now)     // when to call Start, if a limit holds items back
 package rankqueue
 
 import (
 	"slices"
 	"time"
+
+	"cactusstream.example/core/pace"
 )
 
 // RankCount is the number of ranks; rank 0 is the most urgent.
@@ -78,7 +82,9 @@
 	policy  Policy
 	running int
 	waiting int
-	ranks   [RankCount]rankState
+	// limit is the upstream's own limit on its requests per second.
+	limit pace.Limiter
+	ranks [RankCount]rankState
 	// serviceTime is the moving average of the time that a request holds a slot.
 	serviceTime time.Duration
 }
@@ -99,7 +105,9 @@
 	// all of them, and those that were on time when they were admitted.
 	totalDemand  demand
 	onTimeDemand demand
-	lateLoss     lossRate
+	// starts is the number of admitted requests per second.
+	starts   demand
+	lateLoss lossRate
 }
 
 // maxCredit limits the burst, in slots, that a rank can claim after it had nothing
@@ -120,8 +128,8 @@
 	if item.missesDeadline(now) {
 		return RejectDeadline
 	}
-	if qu.running < qu.slots && qu.waiting == 0 {
-		qu.running++
+	if qu.isFree(now) {
+		qu.start(now)
 		qu.recordDemand(now, item, true)
 		return Run
 	}
@@ -161,8 +169,13 @@
 		updateAverage(&qu.serviceTime, held)
 		updateAverage(&qu.ranks[rank].serviceTime, held)
 	}
+	qu.Start(now)
+}
+
+// Start starts queued items while there are free slots and the limit allows it.
+func (qu *Queue) Start(now time.Time) {
 	qu.rejectExpired(now)
-	for qu.running < qu.slots && qu.waiting > 0 {
+	for qu.running < qu.slots && qu.waiting > 0 && qu.limit.Allows(now) {
 		item := qu.pop(now)
 		missesDeadline := item.missesDeadline(now)
 		if item.missesTarget(now) {
@@ -172,11 +185,36 @@
 			item.OnDecision(RejectDeadline)
 			continue
 		}
-		qu.running++
+		qu.start(now)
 		item.OnDecision(Run)
 	}
 }
 
+// NextStart returns the time until Start is to be called, and whether it has to be: there
+// is a free slot, and only the limit holds queued items back.
+func (qu *Queue) NextStart(now time.Time) (time.Duration, bool) {
+	if !qu.limit.IsSet() || qu.running >= qu.slots || qu.waiting == 0 {
+		return 0, false
+	}
+	return qu.limit.Wait(now, 1), true
+}
+
+// Limit returns the limit in requests per second that is in effect, or 0 if there is none.
+func (qu *Queue) Limit() float64 { return qu.limit.PerSecond() }
+
+// SetLimit limits the requests per second. It rejects the queued items that can't start in
+// time any more.
+func (qu *Queue) SetLimit(now time.Time, perSecond float64) {
+	qu.limit.Set(now, perSecond)
+	qu.rejectUnreachable(now)
+}
+
+// ClearLimit removes the limit and starts queued items.
+func (qu *Queue) ClearLimit(now time.Time) {
+	qu.limit.Clear()
+	qu.Start(now)
+}
+
 // RejectIf rejects the queued items that match, such as those that the upstream must
 // not get any more.
 func (qu *Queue) RejectIf(dec Decision, matches func(*Item) bool) {
@@ -266,6 +304,17 @@
 	item.OnDecision(RejectFull)
 }
 
+// isFree reports whether an item can start without waiting.
+func (qu *Queue) isFree(now time.Time) bool {
+	return qu.running < qu.slots && qu.waiting == 0 && qu.limit.Allows(now)
+}
+
+// start takes a slot and counts against the limit.
+func (qu *Queue) start(now time.Time) {
+	qu.running++
+	qu.limit.Take(now)
+}
+
 // push queues an item: by firm, or in the list of late items.
 func (qu *Queue) push(item *Item, isOnTime bool) {
 	rank := &qu.ranks[item.Rank]
@@ -339,6 +388,28 @@
 	}
 }
 
+// rejectUnreachable rejects the queued items that the limit lets start only after their
+// deadline, with the places in the queue that the items before them leave.
+func (qu *Queue) rejectUnreachable(now time.Time) {
+	ahead := 0.0
+	for rank := range qu.ranks {
+		state := &qu.ranks[rank]
+		var items []*Item
+		for _, firm := range state.turns {
+			items = append(items, state.firms[firm]...)
+		}
+		unreachable := make(map[*Item]bool)
+		for _, item := range slices.Concat(items, state.late) {
+			if item.missesDeadline(now.Add(qu.limit.Wait(now, ahead+1))) {
+				unreachable[item] = true
+				continue
+			}
+			ahead++
+		}
+		qu.RejectIf(RejectDeadline, func(item *Item) bool { return unreachable[item] })
+	}
+}
+
 // addCredits adds to each rank its share of the slot that the served rank gets. Ranks
 // without queued items save credit up to maxCredit, so that a burst gets its share.
 func (qu *Queue) addCredits(served int) {
--- a/core/rankqueue/wait.go
+++ b/core/rankqueue/wait.go
@@ -58,7 +58,8 @@
 
 func (lo *lossRate) value(now time.Time) float64 { return lo.share.value(now, lossWindow) }
 
-// demand is the moving average of the slots that admitted requests ask for.
+// demand is the moving average of the slots that admitted requests ask for. With a need of
+// one second each, it is that of their number per second.
 type demand struct{ slots decayingValue }
 
 func (de *demand) add(now time.Time, need time.Duration) {
@@ -92,7 +93,7 @@
 // estimateWait returns how long an item would be queued, given the average service
 // time, and whether it would still meet its target.
 func (qu *Queue) estimateWait(now time.Time, item *Item, serviceTime time.Duration) (wait time.Duration, isOnTime bool) {
-	if qu.running < qu.slots && qu.waiting == 0 {
+	if qu.isFree(now) {
 		return 0, true
 	}
 	wait = qu.waitOnTime(now, item.Rank, serviceTime)
@@ -115,7 +116,7 @@
 	if share := float64(qu.policy.Share[rank]*qu.slots) / 100; share > 0 {
 		wait = min(wait, time.Duration(float64(onTime+1)/share*float64(own.averageServiceTime(serviceTime))))
 	}
-	return wait
+	return max(wait, qu.limitWait(now, rank, onTime))
 }
 
 // waitLate estimates the wait of an item that is served after all others of its rank.
@@ -125,7 +126,29 @@
 	own := &qu.ranks[rank]
 	ahead += time.Duration(own.waiting+1) * own.averageServiceTime(serviceTime)
 	minShare := minLateSlotShare - (minLateSlotShare-minSlotShare)*own.lateLoss.value(now)
-	return qu.drainTime(ahead, urgent+own.onTimeDemand.value(now), minShare)
+	return max(qu.drainTime(ahead, urgent+own.onTimeDemand.value(now), minShare), qu.limitWait(now, rank, own.waiting))
+}
+
+// limitWait estimates how long the limit makes an item of a rank wait that has the given
+// number of queued items of its rank ahead: until the starts that more urgent requests
+// leave reach it or, if that is shorter, until the guaranteed share of its rank does.
+func (qu *Queue) limitWait(now time.Time, rank, ahead int) time.Duration {
+	if !qu.limit.IsSet() {
+		return 0
+	}
+	before, urgentStarts := float64(ahead), 0.0
+	for i := range rank {
+		state := &qu.ranks[i]
+		before += float64(state.waiting)
+		urgentStarts += state.starts.value(now)
+	}
+	perSecond := qu.limit.PerSecond()
+	left := max(perSecond-urgentStarts, minSlotShare*perSecond)
+	wait := qu.limit.Wait(now, 1) + time.Duration(before/left*float64(time.Second))
+	if share := float64(qu.policy.Share[rank]) / 100 * perSecond; share > 0 {
+		wait = min(wait, qu.limit.Wait(now, 1)+time.Duration(float64(ahead+1)/share*float64(time.Second)))
+	}
+	return wait
 }
 
 // urgentLoad returns the slot time that queued items of more urgent ranks need, and
@@ -151,6 +174,7 @@
 	rank := &qu.ranks[item.Rank]
 	need := rank.averageServiceTime(qu.serviceTime)
 	rank.totalDemand.add(now, need)
+	rank.starts.add(now, time.Second)
 	if isOnTime {
 		rank.onTimeDemand.add(now, need)
 	}
