feat(gate): an answer that says that its upstream leaves counts as a leave

What callers saw: nothing so far.

Cause: the header was passed on and not read; the announced leave, which comes to the same daemon, was the only way to learn of it.

Change: the gate takes such an answer as a leave and reports it; an ingress that got the report avoids the endpoint for 10 s, longer than an announcement can be late. The stop of a daemon isn't reported so: its upstream stays.

--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -49,13 +49,16 @@
 	latencies   map[string]*health.Latency
 	// warmAt is the end of the warm-up, or zero once tick has reported it. readyAt
 	// keeps that time for the record.
-	warmAt        time.Time
-	readyAt       time.Time
-	renewedAt     time.Time
-	sequence      uint64
-	reportedBusy  int // Only for the dump.
-	leaving       bool
-	leftAt        time.Time
+	warmAt       time.Time
+	readyAt      time.Time
+	renewedAt    time.Time
+	sequence     uint64
+	reportedBusy int // Only for the dump.
+	leaving      bool
+	leftAt       time.Time
+	// saidLeaving is set when an answer of the upstream said that it leaves. It isn't set
+	// when the daemon stops: the upstream then stays.
+	saidLeaving   bool
 	trialInFlight bool
 	// limit is the number of requests per second that the upstream takes, or noLimit.
 	limit float64
@@ -389,6 +392,7 @@
 	took := now.Sub(started)
 	changed := false
 	gu.updateLimit(now, sent.limit)
+	gu.saidLeaving = gu.saidLeaving || sent.leaving
 	if !sent.cancelled {
 		gu.observeResult(now, started, req, sent)
 		changed = gu.updateSuspicion(now) // Before the slot goes to a queued request.
@@ -410,6 +414,10 @@
 	}
 	changed = gu.updateState(now) || changed
 	gu.mu.Unlock()
+	if sent.leaving {
+		gu.leave("leaving named in an answer")
+		changed = true
+	}
 	gu.opts.Metrics.Observe("gate.runMicros", took)
 	if changed {
 		gu.opts.OnChange()
@@ -451,7 +459,7 @@
 
 // load returns the upstream's current load. The caller holds the lock.
 func (gu *guard) load(now time.Time) wire.Load {
-	load := wire.Load{Running: gu.queue.Running(), Limit: gu.reportedLimit(), Suspected: gu.burstFilter.IsSuspected(now), RetriesLeft: gu.retryBudget.Left(now, gu.budgetPolicy())}
+	load := wire.Load{Running: gu.queue.Running(), Limit: gu.reportedLimit(), Leaving: gu.saidLeaving, Suspected: gu.burstFilter.IsSuspected(now), RetriesLeft: gu.retryBudget.Left(now, gu.budgetPolicy())}
 	for _, count := range gu.queue.Waiting() {
 		load.Queued += count
 	}
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -55,6 +55,8 @@
 	misdirected bool
 	// limit is what the answer says about a limit on the upstream's requests.
 	limit limitReport
+	// leaving reports that the answer says that the upstream leaves.
+	leaving bool
 }
 
 var (
@@ -266,7 +268,7 @@
 		misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 		res := sendResult{rejected: !misdirected, misdirected: misdirected}
 		if !misdirected {
-			res.limit = up.readLimit(resp.Header, true)
+			res.limit, res.leaving = up.readLimit(resp.Header, true), up.isLeaving(resp.Header)
 		}
 		return wire.NotRun(outcome.UpstreamRejected, "the upstream rejected the request"), res
 	}
@@ -274,7 +276,12 @@
 	rejected := busy && resp.Header.Get("Retry-After") != ""
 	failed := resp.StatusCode >= http.StatusInternalServerError && !rejected
 	answer := wire.RunAnswer{Outcome: outcome.Ran, Status: resp.StatusCode, Header: header, Body: body}
-	return answer, sendResult{failed: failed, rejected: rejected, limit: up.readLimit(resp.Header, rejected)}
+	return answer, sendResult{failed: failed, rejected: rejected, limit: up.readLimit(resp.Header, rejected), leaving: up.isLeaving(resp.Header)}
+}
+
+// isLeaving reports whether a complete answer says that the upstream leaves.
+func (up *upstreamClient) isLeaving(header http.Header) bool {
+	return up.dialect.Leaving != "" && header.Get(up.dialect.Leaving) == "1"
 }
 
 // reportsNotRun reports whether the response states that the upstream did not
--- a/cactusd/internal/ingress/platform_dialect_test.go
+++ b/cactusd/internal/ingress/platform_dialect_test.go
@@ -190,6 +190,26 @@
 	is.Equal(sendRequest(in, "/nowhere/", "1000", "").Code, 404)
 }
 
+// TestUpstreamThatLeavesIsAvoided checks that an ingress which passed on an answer of an
+// upstream that leaves sends it nothing more, even if its gate would accept that.
+func TestUpstreamThatLeavesIsAvoided(t *testing.T) {
+	is := is.New(t)
+	runner := &estimatingRunner{estimate: noWait, answer: func(endpoint fleet.Endpoint, _ wire.RunRequest) (wire.RunAnswer, error) {
+		return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusOK, Header: wire.Header{}, Load: wire.Load{Leaving: endpoint.Key == "d0/u"}}, nil
+	}}
+	in := newPlatformIngress(t, runner, newReplica(t, newPlatformSettings()))
+	for range 60 {
+		is.Equal(sendRequest(in, "/cut/7", "2000", "x").Code, 200)
+	}
+	leavingGot := 0
+	for _, key := range runner.endpointsSentTo() {
+		if key == "d0/u" {
+			leavingGot++
+		}
+	}
+	is.Equal(leavingGot, 1)
+}
+
 // TestLimitOfUpstreamIsPassedOn checks that a gate learns the limit of its upstream from the
 // ingresses that know it: it may have restarted since the upstream named it.
 func TestLimitOfUpstreamIsPassedOn(t *testing.T) {
--- a/cactusd/internal/ingress/tracker.go
+++ b/cactusd/internal/ingress/tracker.go
@@ -25,6 +25,10 @@
 	trialOfferTTL = 5 * time.Second
 	// leavingTTL is how long a gate's report that an endpoint is leaving is used.
 	leavingTTL = time.Second
+	// leftTTL is how long an endpoint is avoided that its gate reported as leaving in an
+	// answer. It is longer than an announcement can be late: a gate that has restarted may
+	// take an old one for that of an upstream that stays.
+	leftTTL = 10 * time.Second
 	// suspicionTTL is how long a gate's report of suspicion excludes its endpoint.
 	// The next wait estimate renews it.
 	suspicionTTL = 200 * time.Millisecond
@@ -55,6 +59,8 @@
 	suspected bool
 	trialAt   time.Time
 	leavingAt time.Time
+	// leftAt is when the gate last reported in an answer that the upstream leaves.
+	leftAt time.Time
 	// retriesLeft is the number of retries left in the gate's budget at its last
 	// report.
 	retriesLeft int
@@ -69,6 +75,9 @@
 	en.suspected = load.Suspected
 	en.trialAt = now.Add(load.TrialIn)
 	en.retriesLeft = load.RetriesLeft
+	if load.Leaving {
+		en.leftAt = now
+	}
 	if load.Limit != 0 {
 		en.limit = load.Limit
 	}
@@ -153,13 +162,13 @@
 	tr.state(key).leavingAt = now
 }
 
-// isLeaving reports whether an endpoint's gate rejected all requests for it
-// within leavingTTL.
+// isLeaving reports whether an endpoint's gate rejected all requests for it within
+// leavingTTL, or reported within leftTTL that the upstream leaves.
 func (tr *tracker) isLeaving(now time.Time, key string) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	state := tr.endpoints[key]
-	return state != nil && !state.leavingAt.IsZero() && now.Sub(state.leavingAt) < leavingTTL
+	return state != nil && (now.Sub(state.leavingAt) < leavingTTL || now.Sub(state.leftAt) < leftTTL)
 }
 
 // forget deletes the endpoints for which keep returns false and which have no
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -122,6 +122,8 @@
 	// Limit is the number of requests per second that the upstream takes, NoLimit if it
 	// has named none, or 0 if that is unknown.
 	Limit float64 `codec:"m,omitempty"`
+	// Leaving means that the upstream gets no new requests because it leaves.
+	Leaving bool `codec:"l,omitempty"`
 }
 
 // NoLimit is the value of Load.Limit for an upstream that has named no limit.
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -55,6 +55,9 @@
 	// is in need, the requests per second that it takes from all callers together, as a
 	// decimal number.
 	Limit string
+	// Leaving is the header by which an upstream says with the value 1, in all its answers,
+	// that it leaves.
+	Leaving string
 	// AllowsCloseDelimited accepts answers without a length, which end when the
 	// connection is closed.
 	AllowsCloseDelimited bool
@@ -67,12 +70,15 @@
 
 // DefaultUpstream returns the contract of the product with upstreams.
 func DefaultUpstream() Upstream {
-	return Upstream{Attempt: HeaderAttempt, Deadline: outcome.HeaderDeadline, Limit: HeaderLimit}
+	return Upstream{Attempt: HeaderAttempt, Deadline: outcome.HeaderDeadline, Limit: HeaderLimit, Leaving: HeaderLeaving}
 }
 
 // HeaderAttempt is the header with the id of an attempt. If an upstream returns it in
 // its answers, the gate can match answers to attempts and reuse connections.
 const HeaderAttempt = "Cactus-Attempt"
 
-// HeaderLimit is the header by which upstreams of the product limit their requests.
-const HeaderLimit = "Cactus-Limit"
+// Headers of the product by which upstreams limit their requests, and say that they leave.
+const (
+	HeaderLimit   = "Cactus-Limit"
+	HeaderLeaving = "Cactus-Leaving"
+)
