fix(gate): an announcement that can't be true is rejected

Cause: the platform's calls were decoded and registered without a look at the values; the product's own call checked the address only. An entry that can be decoded was gossiped to the whole fleet: slots whose sum overflows in the floor, a port that can't be dialled, a warm-up that never ends. A start in the far future or a sequence that no other exceeds made every later, true announcement of that id count as superseded. The class: decoded is taken for valid.

TestOutOfOrderAnnouncements had its gate's clock more than an hour before the start of its upstream, which is one of the cases now; its clock is set after the start, its assertions are the same.

--- a/cactusd/daemon/upstreams.go
+++ b/cactusd/daemon/upstreams.go
@@ -10,6 +10,9 @@
 // Announcement describes an upstream on the daemon's VM.
 type Announcement = gate.Announcement
 
+// ErrInvalidAnnouncement reports an announcement that can't be true.
+var ErrInvalidAnnouncement = gate.ErrInvalid
+
 // Announce registers an upstream or renews its lease. An announcement that
 // arrives after a later one is ignored without an error.
 func (da *Daemon) Announce(ann Announcement) error {
--- a/cactusd/internal/gate/announce.go
+++ b/cactusd/internal/gate/announce.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	goa "goa.design/goa/v3/pkg"
@@ -23,9 +22,6 @@
 
 // Announce registers an upstream or renews its lease.
 func (an *AnnounceService) Announce(_ context.Context, payload *genannounce.AnnouncePayload) (*genannounce.AnnounceResult, error) {
-	if _, err := netip.ParseAddrPort(payload.Address); err != nil {
-		return nil, genannounce.MakeRefused(err)
-	}
 	err := an.gate.Announce(Announcement{
 		ID: payload.ID, Service: payload.Service, Address: payload.Address, Slots: payload.Slots,
 		Connections: payload.Connections, WarmUp: time.Duration(payload.ColdMs) * time.Millisecond,
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -17,6 +17,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -88,6 +90,7 @@
 
 // The errors that announcements, leaves and reports return.
 var (
+	ErrInvalid         = errors.New("gate: invalid announcement")
 	ErrRecentlyLeft    = errors.New("gate: the upstream left recently; announce it again in a few seconds")
 	ErrSuperseded      = errors.New("gate: superseded by a later announcement of the upstream")
 	ErrConflict        = errors.New("gate: the upstream is registered with a different service, address or number of slots")
@@ -106,8 +109,45 @@
 	return min(an.Slots, an.Connections)
 }
 
+// The limits of what an announcement may say. A larger value is an error of its writer,
+// and would be taken over by the whole fleet.
+const (
+	maxSlots    = 1 << 16
+	maxWarmUp   = time.Hour
+	maxSequence = 1 << 53 // What JSON numbers hold exactly.
+	// maxClockSkew is how far the clock of an upstream may be ahead.
+	maxClockSkew = time.Hour
+)
+
+// validate returns an error that wraps ErrInvalid if an announcement can't be true.
+func (an Announcement) validate(now time.Time) error {
+	address, err := netip.ParseAddrPort(an.Address)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: address: %w", ErrInvalid, err)
+	case address.Port() == 0:
+		return fmt.Errorf("%w: address %s has port 0", ErrInvalid, an.Address)
+	case an.ID == "" || an.Service == "":
+		return fmt.Errorf("%w: upstream %q of service %q: both names are required", ErrInvalid, an.ID, an.Service)
+	case an.Slots < 1 || an.Slots > maxSlots:
+		return fmt.Errorf("%w: %d slots, want 1 to %d", ErrInvalid, an.Slots, maxSlots)
+	case an.Connections < 1:
+		return fmt.Errorf("%w: %d connections, want at least 1", ErrInvalid, an.Connections)
+	case an.WarmUp < 0 || an.WarmUp > maxWarmUp:
+		return fmt.Errorf("%w: warm-up of %s, want 0 to %s", ErrInvalid, an.WarmUp, maxWarmUp)
+	case an.Sequence > maxSequence:
+		return fmt.Errorf("%w: sequence %d, want at most %d", ErrInvalid, an.Sequence, uint64(maxSequence))
+	case an.StartedAt.After(now.Add(maxClockSkew)):
+		return fmt.Errorf("%w: start at %s is in the future", ErrInvalid, an.StartedAt)
+	}
+	return nil
+}
+
 // Announce registers an upstream or renews its lease.
 func (ga *Gate) Announce(ann Announcement) error {
+	if err := ann.validate(ga.opts.Clock.Now()); err != nil {
+		return err
+	}
 	isNew, err := ga.register(ann)
 	if err != nil || !isNew {
 		return err
--- a/cactusd/internal/gate/suspicion_test.go
+++ b/cactusd/internal/gate/suspicion_test.go
@@ -114,7 +114,7 @@
 		return gate.Announcement{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1, Connections: 9, StartedAt: startedAt.Add(start), Sequence: sequence}
 	}
 	is := is.New(t)
-	ga := newGate(clock.NewFake(time.Unix(1000, 0)))
+	ga := newGate(clock.NewFake(startedAt.Add(time.Minute)))
 	is.NoErr(ga.Announce(ann(0, 7)))
 	is.Equal(ga.Announce(ann(0, 3)), gate.ErrSuperseded) // Delayed in the network.
 	is.NoErr(ga.Announce(ann(time.Second, 0)))           // Restarted, with a new sequence.
