fix(gate): a repeated refusal is not taken for a response

Cause: two ways here. A response without an id was taken for the one that was waited for, also on a connection that had served other requests. And where the upstreams return the caller's id, a refused request that was sent again to the same upstream on the same connection had the id of the repeated refusal. The class: a response is attributed by its place, or by an id that is not unique.

Change: on a connection that has served a request, a response without the id is skipped like one with another id. A connection remembers the ids that were refused on it (64 at most, then it is closed), and these requests get another connection.

--- a/cactusd/internal/gate/connection.go
+++ b/cactusd/internal/gate/connection.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 	// so that no request is sent while the upstream closes the connection.
 	keepAliveMargin = time.Second
 	readBufferSize  = 4 << 10
+	// maxRefused is the number of refusals after which a connection is closed.
+	maxRefused = 64
 	// maxHeadBytes limits the status line and the headers of a response, in bytes.
 	maxHeadBytes = 64 << 10
 )
@@ -39,6 +42,10 @@
 	net.Conn
 	reader *bufio.Reader
 	head   *headLimit
+	// isReused is set once the connection has served a request.
+	isReused bool
+	// refused holds the ids of the requests that were refused on the connection.
+	refused map[string]bool
 	// idleSince is when the last response was complete, and idleTimeout how
 	// long the connection may stay idle after it.
 	idleSince   time.Time
@@ -58,10 +65,11 @@
 }
 
 // get returns a reusable connection that was used less than maxIdleTime ago, or
-// dials a new one.
-func (co *connPool) get(ctx context.Context, maxIdleTime time.Duration) (*connection, error) {
+// dials a new one. A request that was refused on a connection doesn't get it again: a
+// second copy of the refusal could not be told from the response.
+func (co *connPool) get(ctx context.Context, id string, maxIdleTime time.Duration) (*connection, error) {
 	for {
-		con := co.pop()
+		con := co.pop(id)
 		if con == nil {
 			return co.dial(ctx)
 		}
@@ -74,10 +82,10 @@
 
 // put returns a connection to the pool after a complete response.
 func (co *connPool) put(con *connection) {
-	con.idleSince = time.Now()
+	con.idleSince, con.isReused = time.Now(), true
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if co.closed || len(co.idle) >= co.maxIdleConns {
+	if len(con.refused) >= maxRefused || co.closed || len(co.idle) >= co.maxIdleConns {
 		_ = con.Close()
 		return
 	}
@@ -96,15 +104,26 @@
 	co.idle = nil
 }
 
-func (co *connPool) pop() *connection {
+// pop removes the idle connection that was used last and that hasn't refused the request
+// with the given id. It returns nil if there is none.
+func (co *connPool) pop(id string) *connection {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if len(co.idle) == 0 {
-		return nil
+	for index, con := range slices.Backward(co.idle) {
+		if !con.refused[id] {
+			co.idle = slices.Delete(co.idle, index, index+1)
+			return con
+		}
+	}
+	return nil
+}
+
+// recordRefusal records that the request with the given id was refused.
+func (co *connection) recordRefusal(id string) {
+	if co.refused == nil {
+		co.refused = make(map[string]bool)
 	}
-	con := co.idle[len(co.idle)-1]
-	co.idle = co.idle[:len(co.idle)-1]
-	return con
+	co.refused[id] = true
 }
 
 func (co *connPool) dial(ctx context.Context) (*connection, error) {
--- /dev/null
+++ b/cactusd/internal/gate/repeated_refusal_test.go
@@ -0,0 +1,67 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cactusstream.example/core/outcome"
+)
+
+// writeRefusal writes a response that says that a request was not run. An empty id is left
+// out.
+func writeRefusal(con net.Conn, id, status string) {
+	if id != "" {
+		id = "X-Id: " + id + "\r\n"
+	}
+	_, _ = fmt.Fprintf(con, "HTTP/1.1 %s\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+}
+
+// TestRepeatedRefusalIsNotOneOfTheNextRequest lets an upstream write an earlier refusal once
+// more on a kept connection, in place of the response to a request that it has run. That
+// request must not be reported as not run: it may then be sent again.
+func TestRepeatedRefusalIsNotOneOfTheNextRequest(t *testing.T) {
+	const busy, misdirected = "503 Busy", "421 Misdirected"
+	for _, status := range []string{busy, misdirected} {
+		for _, tc := range []struct {
+			name string
+			// first is the id of the first request, and repeated the one in the refusal that
+			// takes the place of the response to the second, which has the id own.
+			first, repeated string
+		}{
+			{"with the id of the earlier request", "earlier", "earlier"},
+			{"without an id", "earlier", ""},
+			{"after a retry of the refused request on its connection", "own", "own"},
+		} {
+			t.Run(status+" "+tc.name, func(t *testing.T) {
+				is := is.New(t)
+				var refused net.Conn
+				ran := 0
+				address, _ := serveScript(t, func(con net.Conn, number int64, req *http.Request) bool {
+					if number == 1 {
+						refused = con
+						writeRefusal(con, tc.first, status)
+						return true
+					}
+					ran++
+					if con == refused {
+						writeRefusal(con, tc.repeated, status)
+					}
+					writeResponse(con, req.Header.Get("X-Id"), "whole", "")
+					return true
+				})
+				ga := newPlatformGate(defaultPolicy(), nil)
+				announce(t, ga, address, 1)
+				is.Equal(ga.Run(context.Background(), platformRequest(tc.first, false)).Outcome, outcome.NotRun)
+				answer := ga.Run(context.Background(), platformRequest("own", false))
+				is.Equal(ran, 1)
+				is.True(answer.Outcome != outcome.NotRun)
+				is.True(answer.Outcome == outcome.Unknown || string(answer.Body) == "whole")
+			})
+		}
+	}
+}
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -80,12 +80,13 @@
 	if !req.Idempotent {
 		maxIdleTime = maxIdleNonIdempotent
 	}
-	con, err := up.pool.get(ctx, maxIdleTime)
+	attempt := hreq.Header.Get(up.dialect.Attempt)
+	con, err := up.pool.get(ctx, attempt, maxIdleTime)
 	if err != nil {
 		cancelled := errors.Is(ctx.Err(), context.Canceled)
 		return wire.NotRun(outcome.UpstreamFailed, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled, unreachable: !cancelled}
 	}
-	exc := &exchange{client: up, con: con, req: req, hreq: hreq, attempt: hreq.Header.Get(up.dialect.Attempt)}
+	exc := &exchange{client: up, con: con, req: req, hreq: hreq, attempt: attempt}
 	return exc.run(ctx)
 }
 
@@ -181,12 +182,16 @@
 	default:
 		ex.reusable = false // The upstream would parse the rest of the body as the next request.
 	}
+	if ex.client.reportsNotRun(resp) {
+		ex.con.recordRefusal(ex.attempt)
+	}
 	return ex.client.toAnswer(resp, body)
 }
 
 // readResponse returns the complete response to this attempt. It skips
 // informational responses and late responses to earlier attempts on the
-// connection.
+// connection. On a connection that has served another attempt, a response without an id
+// may be one of those.
 //
 // The caller closes the connection after an error. The body is then left as it is,
 // since closing it would read the rest, which may have no end.
@@ -203,7 +208,7 @@
 		}
 		body, err := ex.readBody(resp)
 		echoed := resp.Header.Get(ex.client.dialect.Attempt)
-		isStale := echoed != "" && echoed != ex.attempt
+		isStale := echoed != ex.attempt && (echoed != "" || ex.con.isReused)
 		if err != nil && isStale {
 			return nil, nil, fmt.Errorf("%w: %w", errStaleResponse, err)
 		}
