fix(consensus): a learner forgets a leader that it does not hear

A learner, or a keeper that was removed, starts no election, and so never forgot its leader: it sent operators to it for ever.

Evidence and check: TestPartitionedNodeIsNotCurrent asks for the leader too; its case of a learner failed on the code before.

Change: when the election timeout of a node that is no voter ends, it knows no leader. A learner sends join requests all the while, so nothing else changes.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -231,7 +231,11 @@
 		no.tickLeader(now)
 		return
 	}
-	if now.Before(no.electionDeadline) || !no.Config().IsVoter(no.id) {
+	if now.Before(no.electionDeadline) {
+		return
+	}
+	if !no.Config().IsVoter(no.id) {
+		no.leader = "" // It can't elect another one, but must not name this one for ever.
 		return
 	}
 	no.startPreVote(now)
--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -145,6 +145,7 @@
 			cutAt := si.now
 			runFor(si, 5*time.Second)
 			is.True(!subject.node.CurrentAt(si.now).After(cutAt.Add(maxSimDelay + simTick))) // Messages in flight still arrive.
+			is.Equal(subject.node.Leader(), "")                                              // Operators are not sent there.
 			clear(si.cutLinks)
 			runFor(si, 3*time.Second)
 			is.True(si.now.Sub(subject.node.CurrentAt(si.now)) < 300*time.Millisecond)
