fix(follower): only a keeper that is current confirms settings

Cause: an outdated keeper with newer settings than a daemon answers at once, and that answer counted as a confirmation: for 1.5 s after it, an unknown route got 404 again. A daemon that starts also asked each seed twice, since the seeds are among the addresses of keepers now.

Change: a response says whether its sender knows that its settings are the newest; only that confirms them and ends a search. Keepers have to be upgraded before daemons: one that doesn't say so is never found, and its settings come by way of other daemons. The first requests of a daemon go to each address once.

Before and after: TestOutdatedKeeperConfirmsNothing fails without the check (mutation).

--- a/cactusd/internal/follower/failover_test.go
+++ b/cactusd/internal/follower/failover_test.go
@@ -80,8 +80,16 @@
 	is.New(t).NoErr(err)
 }
 
-// follow starts a Follower without peers and returns its Replica.
+// follow starts a Follower without peers and returns its Replica once that has version 1.
 func (gr *keeperGroup) follow(t *testing.T, tokens *auth.Tokens, keepers func() []string) *settingsync.Replica {
+	t.Helper()
+	_, replica := gr.newFollower(t, tokens, keepers)
+	awaitVersion(t, replica, 1, 30*time.Second)
+	return replica
+}
+
+// newFollower starts a Follower without peers.
+func (gr *keeperGroup) newFollower(t *testing.T, tokens *auth.Tokens, keepers func() []string) (*follower.Follower, *settingsync.Replica) {
 	t.Helper()
 	replica := settingsync.NewReplica(gr.keys)
 	pool := link.NewPool("daemon", tokens, link.NewMux())
@@ -94,8 +102,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go fo.Run(ctx)
-	awaitVersion(t, replica, 1, 30*time.Second)
-	return replica
+	return fo, replica
 }
 
 // awaitVersion fails the test if a version isn't in force within limit.
@@ -174,3 +181,26 @@
 		is.New(t).True(gr.polled[(index+1)%len(gr.polled)].Load() > 0)
 	}
 }
+
+// TestOutdatedKeeperConfirmsNothing lets a daemon reach only a keeper that doesn't know
+// whether its settings are the newest. Its settings must be used, but not count as
+// confirmed, until another keeper confirms them.
+func TestOutdatedKeeperConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	tokens := auth.NewTokens("a-token-for-the-tests")
+	gr := startKeepers(t, tokens, 1)
+	gr.publish(t, 1)
+	outdated := startPeer(t, tokens, func(mux *link.Mux) { settingsync.Serve(mux, gr.replica, settingsync.NewFreshness(time.Second)) })
+	var keepers atomic.Pointer[[]string]
+	keepers.Store(&[]string{outdated})
+	fo, replica := gr.newFollower(t, tokens, func() []string { return *keepers.Load() })
+	awaitVersion(t, replica, 1, 30*time.Second)
+	time.Sleep(time.Second)
+	is.True(!fo.IsConfirmed())
+	gr.publish(t, 2)
+	awaitVersion(t, replica, 2, maxSettingsDelay)
+	is.True(!fo.IsConfirmed())
+	keepers.Store(&[]string{outdated, gr.addresses[0]})
+	time.Sleep(time.Second)
+	is.True(fo.IsConfirmed())
+}
--- a/cactusd/internal/follower/follower.go
+++ b/cactusd/internal/follower/follower.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,8 +64,8 @@
 // Follower keeps the settings in a settingsync.Replica up to date.
 type Follower struct {
 	opts Options
-	// confirmedAt is when a keeper last answered a poll: either with newer settings, or
-	// that there are none. It is the zero time until then.
+	// confirmedAt is when a keeper that knew that its settings are the newest last
+	// answered. It is the zero time until then.
 	confirmedAt atomic.Pointer[time.Time]
 	// preferInterval is the time after which a daemon that waits at another keeper asks
 	// its preferred one again.
@@ -84,8 +85,10 @@
 func (fo *Follower) Start(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	addresses := append(slices.Clone(fo.opts.Keepers()), fo.opts.Seeds()...)
+	slices.Sort(addresses)
 	var group sync.WaitGroup
-	for _, address := range append(fo.opts.Keepers(), fo.opts.Seeds()...) {
+	for _, address := range slices.Compact(addresses) {
 		group.Go(func() { _ = fo.pull(ctx, address, 0, startTimeout, wayStart) })
 	}
 	group.Wait()
@@ -143,54 +146,65 @@
 	}
 }
 
+// errUnconfirmed reports a process that doesn't know whether its settings are the newest.
+var errUnconfirmed = errors.New("the settings are not known to be the newest")
+
 // pull fetches newer settings from one process and applies them. If there are
 // none, the process holds the request for up to wait. If the update doesn't
-// match the current settings, pull fetches all settings instead.
+// match the current settings, pull fetches all settings instead. A poll also fails, after
+// the update has been applied, if the process may have outdated settings.
 func (fo *Follower) pull(ctx context.Context, address string, wait, timeout time.Duration, way string) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	have := fo.opts.Replica.Current().Version
 	asked := time.Now()
-	upd, err := fo.fetch(ctx, address, have, wait)
+	upd, confirmed, err := fo.fetch(ctx, address, have, wait)
 	if err != nil {
 		return err
 	}
-	if err = fo.apply(upd, address, way, asked); !errors.Is(err, settingsync.ErrDigestMismatch) && !errors.Is(err, settingsync.ErrMissingChanges) {
-		return err
+	err = fo.apply(upd, address, way, asked)
+	if errors.Is(err, settingsync.ErrDigestMismatch) || errors.Is(err, settingsync.ErrMissingChanges) {
+		fo.opts.Log.Write(events.SettingsDrift, logrus.Fields{"version": upd.Version, "from": address})
+		if upd, confirmed, err = fo.fetch(ctx, address, 0, 0); err != nil {
+			return err
+		}
+		err = fo.apply(upd, address, way, asked)
 	}
-	fo.opts.Log.Write(events.SettingsDrift, logrus.Fields{"version": upd.Version, "from": address})
-	if upd, err = fo.fetch(ctx, address, 0, 0); err != nil {
+	switch {
+	case err != nil:
 		return err
+	case confirmed:
+		now := time.Now()
+		fo.confirmedAt.Store(&now)
+	case way == wayPoll:
+		return errUnconfirmed
 	}
-	return fo.apply(upd, address, way, asked)
+	return nil
 }
 
-// fetch requests what changed since a version; version 0 requests all settings.
-func (fo *Follower) fetch(ctx context.Context, address string, have uint64, wait time.Duration) (settingsync.Update, error) {
+// fetch requests what changed since a version; version 0 requests all settings. It also
+// returns whether the process knows that its settings are the newest.
+func (fo *Follower) fetch(ctx context.Context, address string, have uint64, wait time.Duration) (settingsync.Update, bool, error) {
 	packed, err := link.Call[settingsync.Request, settingsync.EncodedUpdate](ctx, fo.opts.Pool, address, settingsync.MethodGet, settingsync.Request{Have: have, WaitMS: wait.Milliseconds()})
 	if err != nil {
-		return settingsync.Update{}, fmt.Errorf("fetch settings: %w", err)
+		return settingsync.Update{}, false, fmt.Errorf("fetch settings: %w", err)
 	}
-	return packed.Unpack()
+	upd, err := packed.Unpack()
+	return upd, packed.Confirmed, err
 }
 
 // apply applies an update and logs the result, with the way by which the update came,
-// the time since it was requested, and the time since a keeper last answered a poll.
+// the time since it was requested, and the time since a keeper last confirmed the settings.
 func (fo *Follower) apply(upd settingsync.Update, from, way string, asked time.Time) error {
-	confirmedAt := *fo.confirmedAt.Load()
 	applied, err := fo.opts.Replica.Apply(upd)
 	if err != nil {
 		fo.opts.Log.Write(events.SettingsRefused, logrus.Fields{"version": upd.Version, "from": from, "error": err.Error()})
 		return err
 	}
-	now := time.Now()
-	if way == wayPoll {
-		fo.confirmedAt.Store(&now)
-	}
 	if applied {
-		fields := logrus.Fields{"version": upd.Version, "from": from, "way": way, "askedAgoMillis": now.Sub(asked).Milliseconds()}
-		if !confirmedAt.IsZero() {
-			fields["confirmedAgoMillis"] = now.Sub(confirmedAt).Milliseconds()
+		fields := logrus.Fields{"version": upd.Version, "from": from, "way": way, "askedAgoMillis": time.Since(asked).Milliseconds()}
+		if confirmedAt := *fo.confirmedAt.Load(); !confirmedAt.IsZero() {
+			fields["confirmedAgoMillis"] = time.Since(confirmedAt).Milliseconds()
 		}
 		fo.opts.Log.Write(events.SettingsInForce, fields)
 	}
--- a/core/settingsync/freshness.go
+++ b/core/settingsync/freshness.go
@@ -53,6 +53,12 @@
 	return fr.expired
 }
 
+func (fr *Freshness) isConfirmed() bool {
+	fr.mu.Lock()
+	defer fr.mu.Unlock()
+	return !fr.isExpired()
+}
+
 // expire ends the last confirmation. It also runs when a confirmation came while it waited
 // for the lock, and then starts the timer again.
 func (fr *Freshness) expire() {
@@ -67,6 +73,7 @@
 	}
 }
 
+// isExpired reports whether the channel is closed. The caller holds the lock.
 func (fr *Freshness) isExpired() bool {
 	select {
 	case <-fr.expired:
--- a/core/settingsync/pack.go
+++ b/core/settingsync/pack.go
@@ -20,10 +20,12 @@
 	maxUnpackedSize = 64 << 20
 )
 
-// EncodedUpdate is an encoded Update, compressed or not. One of the fields is set.
+// EncodedUpdate is an encoded Update, compressed or not: either Plain or Deflated is set.
 type EncodedUpdate struct {
 	Plain    []byte `codec:"p,omitempty"`
 	Deflated []byte `codec:"d,omitempty"`
+	// Confirmed means that the sender knows that its settings are the newest.
+	Confirmed bool `codec:"f,omitempty"`
 }
 
 // ErrTooLarge reports an Update that decompresses to more than maxUnpackedSize.
--- a/core/settingsync/serve.go
+++ b/core/settingsync/serve.go
@@ -32,6 +32,9 @@
 // confirms it; otherwise, and as soon as that ends, the request is rejected with
 // ErrNotCurrent. A nil fresh never confirms it.
 func Serve(mux *link.Mux, rep *Replica, fresh *Freshness) {
+	if fresh == nil {
+		fresh = NewFreshness(0)
+	}
 	cache := &encodedCache{}
 	link.Handle(mux, MethodGet, func(ctx context.Context, _ string, req Request) (EncodedUpdate, error) {
 		if wait := min(time.Duration(req.WaitMS)*time.Millisecond, maxWait); wait > 0 {
@@ -39,16 +42,15 @@
 				return EncodedUpdate{}, err
 			}
 		}
-		return cache.since(rep, req.Have)
+		packed, err := cache.since(rep, req.Have)
+		packed.Confirmed = fresh.isConfirmed()
+		return packed, err
 	})
 }
 
 // awaitNewer returns when the Replica has a newer version than have, or after wait if
 // there is none. It returns ErrNotCurrent once it isn't known whether there is one.
 func awaitNewer(ctx context.Context, rep *Replica, fresh *Freshness, have uint64, wait time.Duration) error {
-	if fresh == nil {
-		fresh = NewFreshness(0)
-	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for rep.Current().Version <= have {
