fix(gate): refusals without an id hold no slots

What callers saw: nothing outside our tests.

The stand-in's fault 'shed' refuses without the id, so each such refusal held a slot for up to 3 s.

Change: such a response ends the attempt at once as unknown and closes the connection, and for 30 s each request to that upstream gets a connection of its own, on which a response without an id is known to be the one that is waited for. So at most the kept connections pay for it once.

Before and after: TestRefusalsWithoutIDHoldNoSlots: the third of its requests took its 5 s on the code before, and the test fails without the 30 s (mutation).

--- a/cactusd/internal/gate/repeated_refusal_test.go
+++ b/cactusd/internal/gate/repeated_refusal_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -65,3 +66,28 @@
 		}
 	}
 }
+
+// TestRefusalsWithoutIDHoldNoSlots covers an upstream that returns the id in its responses
+// but not in its refusals, as when those come from a layer in front of it. Its refusals must
+// be passed on at once: the first on a kept connection as unknown, those on connections of
+// their own as what they are.
+func TestRefusalsWithoutIDHoldNoSlots(t *testing.T) {
+	is := is.New(t)
+	address, dials := serveScript(t, func(con net.Conn, number int64, req *http.Request) bool {
+		if number <= 2 {
+			writeResponse(con, req.Header.Get("X-Id"), "whole", "")
+			return true
+		}
+		writeRefusal(con, "", "503 Busy")
+		return true
+	})
+	ga := newPlatformGate(defaultPolicy(), nil)
+	announce(t, ga, address, 1)
+	start := time.Now()
+	want := []outcome.Outcome{outcome.Ran, outcome.Ran, outcome.Unknown, outcome.NotRun, outcome.NotRun, outcome.NotRun}
+	for number, wanted := range want {
+		is.Equal(ga.Run(context.Background(), platformRequest(fmt.Sprint("id-", number), false)).Outcome, wanted)
+	}
+	is.True(time.Since(start) < time.Second) // Each has 5 s.
+	is.Equal(dials.Load(), int64(4))         // One for the first three, and one for each other.
+}
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
@@ -26,6 +27,9 @@
 	// maxResponses limits the responses that are read for one request, including
 	// informational ones and late ones to other requests.
 	maxResponses = 4
+	// missingIDPeriod is how long after a response without an id each request gets a
+	// connection of its own.
+	missingIDPeriod = 30 * time.Second
 	// maxSyncWrite is the largest request, in bytes, that is written before its
 	// response is read. Larger requests are written concurrently, because the
 	// upstream may respond before it has read the whole request.
@@ -38,6 +42,8 @@
 	dialect dialect.Upstream
 	pool    *connPool
 	bodies  *bodybuffer.Buffer
+	// missingIDAt is when a response last had no id, in Unix nanoseconds.
+	missingIDAt atomic.Int64
 }
 
 // sendResult holds what the outcome of an attempt implies for the upstream's
@@ -61,6 +67,7 @@
 
 var (
 	errStaleResponse    = errors.New("the response belongs to a different attempt")
+	errMissingID        = errors.New("the response has no id on a connection with earlier attempts, to one of which it may belong")
 	errUnframedResponse = errors.New("the response has neither a Content-Length nor chunked encoding, so a truncated body cannot be detected")
 )
 
@@ -81,7 +88,7 @@
 		maxIdleTime = maxIdleNonIdempotent
 	}
 	attempt := hreq.Header.Get(up.dialect.Attempt)
-	con, err := up.pool.get(ctx, attempt, maxIdleTime)
+	con, err := up.connect(ctx, attempt, maxIdleTime)
 	if err != nil {
 		cancelled := errors.Is(ctx.Err(), context.Canceled)
 		return wire.NotRun(outcome.UpstreamFailed, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled, unreachable: !cancelled}
@@ -90,6 +97,19 @@
 	return exc.run(ctx)
 }
 
+// connect returns a connection for a request, a new one if the upstream has lately left
+// out an id: only on a connection of one request is it known what such a response is for.
+func (up *upstreamClient) connect(ctx context.Context, id string, maxIdleTime time.Duration) (*connection, error) {
+	if up.leavesOutIDs() {
+		return up.pool.dial(ctx)
+	}
+	return up.pool.get(ctx, id, maxIdleTime)
+}
+
+func (up *upstreamClient) leavesOutIDs() bool {
+	return time.Since(time.Unix(0, up.missingIDAt.Load())) < missingIDPeriod
+}
+
 // newRequest builds the HTTP request and leaves the request target unchanged.
 func (up *upstreamClient) newRequest(req wire.RunRequest) (*http.Request, error) {
 	target, err := url.ParseRequestURI(req.URI)
@@ -191,7 +211,7 @@
 // readResponse returns the complete response to this attempt. It skips
 // informational responses and late responses to earlier attempts on the
 // connection. On a connection that has served another attempt, a response without an id
-// may be one of those.
+// may be one of those, so it is an error.
 //
 // The caller closes the connection after an error. The body is then left as it is,
 // since closing it would read the rest, which may have no end.
@@ -208,7 +228,7 @@
 		}
 		body, err := ex.readBody(resp)
 		echoed := resp.Header.Get(ex.client.dialect.Attempt)
-		isStale := echoed != ex.attempt && (echoed != "" || ex.con.isReused)
+		isStale := echoed != "" && echoed != ex.attempt
 		if err != nil && isStale {
 			return nil, nil, fmt.Errorf("%w: %w", errStaleResponse, err)
 		}
@@ -216,13 +236,20 @@
 			return nil, nil, err
 		}
 		_ = resp.Body.Close()
+		if echoed == "" {
+			ex.client.missingIDAt.Store(time.Now().UnixNano())
+			if ex.con.isReused {
+				ex.client.bodies.Release(body)
+				return nil, nil, errMissingID
+			}
+		}
 		if isStale {
 			ex.sawStale = true
 			ex.client.bodies.Release(body)
 			continue
 		}
 		ex.con.setKeepAlive(resp.Header.Get("Keep-Alive"))
-		ex.reusable = !resp.Close && echoed != "" && !ex.sawStale && ex.con.reader.Buffered() == 0
+		ex.reusable = !resp.Close && !ex.client.leavesOutIDs() && !ex.sawStale && ex.con.reader.Buffered() == 0
 		return resp, body, nil
 	}
 	return nil, nil, errStaleResponse
