fix(gate): an upstream without ids keeps to the announced connections

Found by reading: while an upstream leaves out ids, each request gets a connection of its own, and the kept ones stayed open beside them: up to twice the connections that the upstream announced.

Change: the kept ones are closed first.

Before and after: TestMissingIDsKeepToTheAnnouncedConnections fails without that (more than 4 connections open at once).

--- a/cactusd/internal/gate/connection.go
+++ b/cactusd/internal/gate/connection.go
@@ -98,6 +98,18 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.closed = true
+	co.dropIdle()
+}
+
+// closeIdle closes the idle connections.
+func (co *connPool) closeIdle() {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.dropIdle()
+}
+
+// dropIdle closes the idle connections. The caller holds the lock.
+func (co *connPool) dropIdle() {
 	for _, con := range co.idle {
 		_ = con.Close()
 	}
--- a/cactusd/internal/gate/repeated_refusal_test.go
+++ b/cactusd/internal/gate/repeated_refusal_test.go
@@ -1,10 +1,14 @@
 package gate_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +95,45 @@
 	is.True(time.Since(start) < time.Second) // Each has 5 s.
 	is.Equal(dials.Load(), int64(4))         // One for the first three, and one for each other.
 }
+
+// TestMissingIDsKeepToTheAnnouncedConnections checks that kept connections are closed when
+// each request gets one of its own: together they may be more than the upstream accepts.
+func TestMissingIDsKeepToTheAnnouncedConnections(t *testing.T) {
+	is := is.New(t)
+	const slots = 4
+	var open, most, requests atomic.Int64
+	address := rawUpstream(t, func(con net.Conn) {
+		defer func() { _ = con.Close() }()
+		defer open.Add(-1)
+		now := open.Add(1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		reader := bufio.NewReader(con)
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			time.Sleep(20 * time.Millisecond)
+			if requests.Add(1) <= slots {
+				writeResponse(con, req.Header.Get("X-Id"), "whole", "")
+			} else {
+				writeRefusal(con, "", "503 Busy")
+			}
+		}
+	})
+	ga := newPlatformGate(defaultPolicy(), nil)
+	announce(t, ga, address, slots)
+	for round, parallel := range []int{slots, 1, slots, slots} {
+		var group sync.WaitGroup
+		for number := range parallel {
+			group.Go(func() {
+				ga.Run(context.Background(), platformRequest(fmt.Sprint(round, "-", number), false))
+			})
+		}
+		group.Wait()
+		time.Sleep(20 * time.Millisecond) // Lets the upstream see that connections were closed.
+	}
+	is.True(most.Load() <= slots)
+}
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -101,6 +101,7 @@
 // out an id: only on a connection of one request is it known what such a response is for.
 func (up *upstreamClient) connect(ctx context.Context, id string, maxIdleTime time.Duration) (*connection, error) {
 	if up.leavesOutIDs() {
+		up.pool.closeIdle() // They count against the connections that the upstream accepts.
 		return up.pool.dial(ctx)
 	}
 	return up.pool.get(ctx, id, maxIdleTime)
