refactor: one counter of concurrent events in the gate's tests, plainer comments

The loop that keeps the largest number of concurrent requests or connections stood in three tests, one of them new: it is a type now, and the tests keep their assertions. The comments of Freshness say valid where they said counts. The tests of gate (race detector) and settingsync pass, lint exits 0.

--- a/cactusd/internal/gate/connection_test.go
+++ b/cactusd/internal/gate/connection_test.go
@@ -226,13 +226,11 @@
 // connections than it has slots.
 func TestConnectionsStayWithinAnnouncedLimit(t *testing.T) {
 	is := is.New(t)
-	var open, maxOpen atomic.Int64
+	var open peak
 	address := rawUpstream(t, func(con net.Conn) {
 		defer func() { _ = con.Close() }()
-		now := open.Add(1)
-		defer open.Add(-1)
-		for seen := maxOpen.Load(); now > seen && !maxOpen.CompareAndSwap(seen, now); seen = maxOpen.Load() {
-		}
+		open.begin()
+		defer open.end()
 		reader := bufio.NewReader(con)
 		for {
 			req, err := http.ReadRequest(reader)
@@ -250,5 +248,5 @@
 		group.Go(func() { ga.Run(context.Background(), platformRequest(fmt.Sprint(number), true)) })
 	}
 	group.Wait()
-	is.Equal(maxOpen.Load(), int64(2))
+	is.Equal(open.most.Load(), int64(2))
 }
--- a/cactusd/internal/gate/gate_test.go
+++ b/cactusd/internal/gate/gate_test.go
@@ -82,15 +82,26 @@
 	return lis.Addr().String()
 }
 
+// peak counts what happens at the same time, and the most of it.
+type peak struct {
+	now, most atomic.Int64
+}
+
+func (pe *peak) begin() {
+	now := pe.now.Add(1)
+	for seen := pe.most.Load(); now > seen && !pe.most.CompareAndSwap(seen, now); seen = pe.most.Load() {
+	}
+}
+
+func (pe *peak) end() { pe.now.Add(-1) }
+
 func TestSlotsAreNeverExceeded(t *testing.T) {
 	is := is.New(t)
-	var running, maxRunning atomic.Int64
+	var running peak
 	address := serveUpstream(t, func(wr http.ResponseWriter, req *http.Request) {
-		now := running.Add(1)
-		for seen := maxRunning.Load(); now > seen && !maxRunning.CompareAndSwap(seen, now); seen = maxRunning.Load() {
-		}
+		running.begin()
 		time.Sleep(2 * time.Millisecond)
-		running.Add(-1)
+		running.end()
 		wr.Header().Set(gate.HeaderAttempt, req.Header.Get(gate.HeaderAttempt))
 	})
 	ga := newGate(clock.Real{})
@@ -105,7 +116,7 @@
 		})
 	}
 	group.Wait()
-	is.Equal(maxRunning.Load(), int64(3))
+	is.Equal(running.most.Load(), int64(3))
 	is.Equal(ran.Load(), int64(60))
 }
 
--- a/cactusd/internal/gate/repeated_refusal_test.go
+++ b/cactusd/internal/gate/repeated_refusal_test.go
@@ -101,13 +101,12 @@
 func TestMissingIDsKeepToTheAnnouncedConnections(t *testing.T) {
 	is := is.New(t)
 	const slots = 4
-	var open, most, requests atomic.Int64
+	var open peak
+	var requests atomic.Int64
 	address := rawUpstream(t, func(con net.Conn) {
 		defer func() { _ = con.Close() }()
-		defer open.Add(-1)
-		now := open.Add(1)
-		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
-		}
+		open.begin()
+		defer open.end()
 		reader := bufio.NewReader(con)
 		for {
 			req, err := http.ReadRequest(reader)
@@ -135,5 +134,5 @@
 		group.Wait()
 		time.Sleep(20 * time.Millisecond) // Lets the upstream see that connections were closed.
 	}
-	is.True(most.Load() <= slots)
+	is.True(open.most.Load() <= slots)
 }
--- a/core/settingsync/freshness.go
+++ b/core/settingsync/freshness.go
@@ -5,10 +5,9 @@
 	"time"
 )
 
-// Freshness tells for how long the settings of a process are known to be the newest. Each
-// confirmation counts for a limited time, so that a process whose source of confirmations
-// stands still can't hold that they are, whatever the reason. It is safe for concurrent
-// use.
+// Freshness tells whether the settings of a process are known to be the newest. Each
+// confirmation is valid for a limited time, so a process that gets no further ones stops
+// reporting its settings as the newest, whatever the reason. It is safe for concurrent use.
 //
 // Lock order: no other lock is taken while Freshness.mu is held.
 type Freshness struct {
@@ -16,11 +15,11 @@
 
 	mu          sync.Mutex
 	confirmedAt time.Time
-	expired     chan struct{} // Closed while no confirmation counts.
+	expired     chan struct{} // Closed unless a confirmation is valid.
 	timer       *time.Timer
 }
 
-// NewFreshness returns a Freshness without a confirmation. Each one counts for limit.
+// NewFreshness returns a Freshness without a confirmation. Each one is valid for limit.
 func NewFreshness(limit time.Duration) *Freshness {
 	fr := &Freshness{limit: limit, expired: make(chan struct{})}
 	close(fr.expired)
@@ -59,8 +58,8 @@
 	return !fr.isExpired()
 }
 
-// expire ends the last confirmation. It also runs when a confirmation came while it waited
-// for the lock, and then starts the timer again.
+// expire ends the last confirmation. If another one arrived while expire waited for the
+// lock, it restarts the timer instead.
 func (fr *Freshness) expire() {
 	fr.mu.Lock()
 	defer fr.mu.Unlock()
