test(review): a planned stop of a daemon cuts answers that are complete

Cause: a daemon that stops waits until no request holds a slot, and then closes its links, also while it still writes answers to them.

--- a/review/harness/case_config.go
+++ b/review/harness/case_config.go
@@ -17,7 +17,7 @@
 
 // sameName changes the config so that two hosts have a route of the same name.
 func sameName(dep *deployment, trouble bool) (string, error) {
-	sh, err := newShop(dep, 20*time.Millisecond, 4)
+	sh, err := newShop(dep, 20*time.Millisecond, 4, 2)
 	if err != nil {
 		return "", err
 	}
--- a/review/harness/case_leave.go
+++ b/review/harness/case_leave.go
@@ -32,18 +32,20 @@
 }
 
 // shop is a small deployment: three keepers, a machine whose requesters call the service
-// "work", and two machines with an endpoint of it.
+// "work", and two or more machines with an endpoint of it.
 type shop struct {
 	dep          *deployment
 	op           *operator
 	front, stays *machine
 	leaves       *machine
 	rest, leaver *endpoint
+	others       []*endpoint
 	requests     *requester
 }
 
-// newShop starts the deployment and waits until requests are served.
-func newShop(dep *deployment, work time.Duration, slots int) (*shop, error) {
+// newShop starts the deployment, with a number of endpoints of "work", and waits until
+// requests are served.
+func newShop(dep *deployment, work time.Duration, slots, endpoints int) (*shop, error) {
 	sh := &shop{dep: dep}
 	var cores []*machine
 	for i := range 3 {
@@ -52,10 +54,21 @@
 	sh.front = dep.addSidecar("side-1", "zone-1", "front")
 	sh.leaves = dep.addSidecar("side-2", "zone-1", "work")
 	sh.stays = dep.addSidecar("side-3", "zone-1", "work")
+	var others []*machine
+	for i := range endpoints - 2 {
+		others = append(others, dep.addSidecar(fmt.Sprintf("side-%d", i+4), "zone-1", "work"))
+	}
 	if err := dep.startAll(); err != nil {
 		return nil, err
 	}
 	var err error
+	for i, mac := range others {
+		en, err := startEndpoint(mac, fmt.Sprintf("i-other-%d", i+1), slots, work)
+		if err != nil {
+			return nil, err
+		}
+		sh.others = append(sh.others, en)
+	}
 	if _, err = startEndpoint(sh.front, "i-front", slots, work); err != nil {
 		return nil, err
 	}
@@ -82,7 +95,7 @@
 // that never say that they are draining. With the disruption, a heartbeat that it sent
 // before arrives seconds late; with restart, its daemon is killed in between.
 func leaveCase(dep *deployment, trouble, restart bool) (string, error) {
-	sh, err := newShop(dep, 600*time.Millisecond, 4)
+	sh, err := newShop(dep, 600*time.Millisecond, 4, 2)
 	if err != nil {
 		return "", err
 	}
--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -40,6 +40,8 @@
 	leaving  bool
 	active   int
 	arrivals []arrival
+	// answered holds the ids of the requests whose answers were written in full.
+	answered map[string]bool
 	free     chan struct{}
 	server   *http.Server
 	stop     context.CancelFunc
@@ -53,7 +55,7 @@
 
 // startEndpoint starts an endpoint beside the daemon of a machine, with its heartbeats.
 func startEndpoint(mac *machine, id string, slots int, work time.Duration) (*endpoint, error) {
-	en := &endpoint{id: id, mac: mac, slots: slots, work: work, born: time.Now().UnixMilli(), state: stateReady, free: make(chan struct{}, slots)}
+	en := &endpoint{id: id, mac: mac, slots: slots, work: work, born: time.Now().UnixMilli(), state: stateReady, answered: make(map[string]bool), free: make(chan struct{}, slots)}
 	return en, en.start()
 }
 
@@ -142,6 +144,9 @@
 	header.Set(names.Seal, "seal."+en.id+"."+id)
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
 	_, err := wr.Write(answer)
+	en.mu.Lock()
+	en.answered[id] = err == nil
+	en.mu.Unlock()
 	rec.add("%s: answered request %s with 200 (%v)", en.id, id, errOrOK(err))
 }
 
@@ -158,17 +163,18 @@
 	return en.leaving
 }
 
-func (en *endpoint) running() int {
+// ran returns the requests that the endpoint has run.
+func (en *endpoint) ran() []arrival {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return en.active
+	return append([]arrival(nil), en.arrivals...)
 }
 
-// ran returns the requests that the endpoint has run.
-func (en *endpoint) ran() []arrival {
+// hasAnswered reports whether the answer to a request was written in full.
+func (en *endpoint) hasAnswered(id string) bool {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return append([]arrival(nil), en.arrivals...)
+	return en.answered[id]
 }
 
 // beat sends heartbeats until the endpoint has left.
