test(review): the stand-ins build without version control

Cause: build.sh left the stamp of the version control on, which fails where git can't read the checkout.

Change: review/build.sh.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins of the review's scripts.
 set -euo pipefail
 cd "$(dirname "$0")/harness"
-GOWORK=off GOFLAGS=-mod=mod go build -o ../bin/harness .
+mkdir -p ../bin
+GOWORK=off go build -buildvcs=false -o ../bin/harness .
