fix(keeper): a keeper that shuts down leaves a group that has enough voters

A keeper is replaced as planned, then two of five keepers lose their disks. No keeper returns the accepted config any more, and none can be changed.

Cause: every keeper that has caught up becomes a voter, also beyond the planned size, and a voter was removed only after it had sent nothing for 3 s, counted anew after each election. Six voters of which one isn't running tolerate one loss less than five voters do. Nobody told the leader that a keeper was stopped.

Ruled out: the config is on three of the five remaining disks; the successor was a voter in time.

Change: a keeper that shuts down asks the leader whether its process may end (reconfig.MayStop). The leader removes it first if more keepers vote than planned, or waits until its successor votes; the answer is confirmed by a quorum and the removal is committed before. In a group of the planned size a restart changes nothing.

--- a/cactuskeeper/keeper/group.go
+++ b/cactuskeeper/keeper/group.go
@@ -40,10 +40,17 @@
 // accept its first change.
 var ErrBootstrapping = errors.New("keeper: the group is bootstrapping and has too few voters")
 
+func newGroup(opts GroupOptions) group {
+	return group{opts: opts, joinRequests: make(map[string]reconfig.ReceivedJoinRequest), stopping: make(map[string]time.Time)}
+}
+
 // group is the state of automatic discovery and reconfiguration. Run owns it.
 type group struct {
 	opts         GroupOptions
 	joinRequests map[string]reconfig.ReceivedJoinRequest
+	// stopping holds the keepers that shut down. A keeper is in at most one of
+	// joinRequests and stopping.
+	stopping map[string]time.Time
 	joinRequestedAt,
 	reconfiguredAt,
 	leaderSince time.Time
@@ -63,6 +70,7 @@
 	select {
 	case ke.tasks <- func(now time.Time) {
 		ke.group.joinRequests[req.Member.ID] = reconfig.ReceivedJoinRequest{JoinRequest: req, ReceivedAt: now}
+		delete(ke.group.stopping, req.Member.ID) // It has started again.
 	}:
 	default: // The queue is full; the keeper sends its join request again.
 	}
@@ -78,7 +86,7 @@
 	}
 	ke.group.reconfiguredAt = now
 	isVoter := ke.node.Config().IsVoter(ke.ident.ID)
-	if (!isVoter || ke.node.Leader() == "") && now.Sub(ke.group.joinRequestedAt) >= joinRequestInterval {
+	if (!isVoter || ke.node.Leader() == "") && !ke.leaving.Load() && now.Sub(ke.group.joinRequestedAt) >= joinRequestInterval {
 		ke.group.joinRequestedAt = now
 		ke.sendJoinRequests()
 	}
@@ -132,15 +140,7 @@
 // repair proposes the next membership change, if one is needed: adding,
 // promoting or removing a keeper.
 func (ke *Keeper) repair(now time.Time) {
-	view := reconfig.View{
-		Now: now, Self: ke.ident.ID, Config: ke.node.Config(), JoinRequests: ke.receivedJoinRequests(), LeaderSince: ke.group.leaderSince,
-		Contacts: make(map[string]reconfig.Contact), Size: ke.group.opts.Size,
-	}
-	for _, mem := range view.Config.Members {
-		lastResponseAt, match := ke.node.Progress(mem.ID)
-		view.Contacts[mem.ID] = reconfig.Contact{LastResponseAt: lastResponseAt, IsCaughtUp: match >= ke.node.Commit()}
-	}
-	step := reconfig.Next(view)
+	step := reconfig.Next(ke.groupView(now))
 	var err error
 	switch step.Kind {
 	case reconfig.Add:
@@ -159,6 +159,21 @@
 	ke.opts.Log.Write(events.KeeperReconfigures, logrus.Fields{"member": step.Member.ID, "step": step.Kind.String(), "reason": step.Reason})
 }
 
+// groupView returns the state of the group as this keeper sees it. Only the leader
+// has contacts.
+func (ke *Keeper) groupView(now time.Time) reconfig.View {
+	view := reconfig.View{
+		Now: now, Self: ke.ident.ID, Config: ke.node.Config(), IsConfigCommitted: ke.node.IsConfigCommitted(),
+		JoinRequests: ke.receivedJoinRequests(), Stopping: ke.group.stopping, LeaderSince: ke.group.leaderSince,
+		Contacts: make(map[string]reconfig.Contact), Size: ke.group.opts.Size,
+	}
+	for _, mem := range view.Config.Members {
+		lastResponseAt, match := ke.node.Progress(mem.ID)
+		view.Contacts[mem.ID] = reconfig.Contact{LastResponseAt: lastResponseAt, IsCaughtUp: match >= ke.node.Commit()}
+	}
+	return view
+}
+
 // receivedJoinRequests returns the newest join request of each keeper, sorted by
 // ID.
 func (ke *Keeper) receivedJoinRequests() []reconfig.ReceivedJoinRequest {
--- a/cactuskeeper/keeper/keeper.go
+++ b/cactuskeeper/keeper/keeper.go
@@ -29,7 +29,6 @@
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/link"
 	"cactusstream.example/core/metrics"
-	"cactusstream.example/core/reconfig"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/settingsync"
 	"cactusstream.example/core/wal"
@@ -86,6 +85,8 @@
 	tasks    chan func(now time.Time)
 	stopped  chan struct{}
 	stopping atomic.Bool
+	// leaving is set once this keeper has asked to be removed because it shuts down.
+	leaving atomic.Bool
 	// fresh tells whether this keeper is known to have all accepted changes.
 	fresh *settingsync.Freshness
 
@@ -154,7 +155,7 @@
 		pendingReads: make(map[uint64]chan error),
 		store:        settings.NewStore(),
 		fresh:        settingsync.NewFreshness(opts.Consensus.ElectionTimeout),
-		group:        group{opts: opts.Group, joinRequests: make(map[string]reconfig.ReceivedJoinRequest)},
+		group:        newGroup(opts.Group),
 	}
 	if err := ke.restore(state.Snapshot); err != nil {
 		return nil, fmt.Errorf("open keeper: %w", err)
@@ -162,6 +163,7 @@
 	tra.setAddresses(node.Config())
 	link.HandleNotice(opts.Mux, methodMessage, ke.receive)
 	link.HandleNotice(opts.Mux, methodJoinRequest, ke.receiveJoinRequest)
+	link.Handle(opts.Mux, methodMayStop, ke.handleMayStop)
 	settingsync.Serve(opts.Mux, ke.replica, ke.fresh)
 	link.Handle(opts.Mux, settingsync.MethodNewest, ke.newestVersion)
 	return ke, nil
--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -137,9 +137,11 @@
 	return nil
 }
 
-// Stop waits for pending changes and open operator requests, then closes all
-// connections. The context of Start must be cancelled afterwards, not before.
+// Stop leaves the group if necessary, waits for pending changes and open operator
+// requests, then closes all connections. The context of Start must be cancelled
+// afterwards, not before.
 func (se *Server) Stop(ctx context.Context) error {
+	se.keeper.Leave(ctx)
 	se.keeper.Stop(ctx)
 	err := se.operatorServer.Shutdown(ctx)
 	if se.fleet != nil {
--- a/cactuskeeper/server/server_test.go
+++ b/cactuskeeper/server/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +25,8 @@
 
 const (
 	groupSize = 5
+	// catchUpTime is how long after its start the platform counts a machine as lost.
+	catchUpTime = 4 * time.Second
 	// waitTimeout is longer than any step takes on a loaded machine.
 	waitTimeout = 60 * time.Second
 )
@@ -105,6 +108,33 @@
 	_ = nd.server.Stop(ctx)
 }
 
+// stop shuts a keeper down as a signal to its process does.
+func (gr *group) stop(index int) {
+	gr.t.Helper()
+	nd := gr.nodes[index]
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	if err := nd.server.Stop(ctx); err != nil {
+		gr.t.Error(err)
+	}
+	nd.cancel()
+	nd.server.Wait()
+	gr.nodes[index] = nil
+}
+
+// leader returns the index of the leader, or -1 if there is none.
+func (gr *group) leader() int {
+	for index, nd := range gr.nodes {
+		if nd == nil {
+			continue
+		}
+		if part, _ := nd.server.Keeper().Dump()["consensus"].(map[string]any); part["role"] == "leader" {
+			return index
+		}
+	}
+	return -1
+}
+
 // change makes a labelled change through the first keeper that accepts it.
 func (gr *group) change(label, base uint64) {
 	gr.t.Helper()
@@ -168,24 +198,28 @@
 // voters returns how many running keepers are voters in the leader's
 // configuration under their current identity, or 0 without a leader.
 func (gr *group) voters() int {
+	members := gr.members()
+	voters := 0
+	for _, peer := range gr.nodes {
+		if peer != nil && members.IsVoter(peer.server.Keeper().ID()) {
+			voters++
+		}
+	}
+	return voters
+}
+
+// members returns the configuration of the leader, which is empty without one.
+func (gr *group) members() consensus.Config {
 	for _, nd := range gr.nodes {
 		if nd == nil {
 			continue
 		}
-		part, _ := nd.server.Keeper().Dump()["consensus"].(map[string]any)
-		if part["role"] != "leader" {
-			continue
-		}
-		members, _ := part["members"].([]consensus.Member)
-		voters := 0
-		for _, peer := range gr.nodes {
-			if peer != nil && (consensus.Config{Members: members}).IsVoter(peer.server.Keeper().ID()) {
-				voters++
-			}
+		if part, _ := nd.server.Keeper().Dump()["consensus"].(map[string]any); part["role"] == "leader" {
+			members, _ := part["members"].([]consensus.Member)
+			return consensus.Config{Members: members}
 		}
-		return voters
 	}
-	return 0
+	return consensus.Config{}
 }
 
 // until waits for a condition and fails the test after waitTimeout.
@@ -281,3 +315,90 @@
 		})
 	}
 }
+
+// TestStoppedKeeperDoesNotCountForTheQuorum replaces keepers as planned and then loses
+// as many data folders as the group tolerates. A keeper that has been stopped for good
+// must not count as a voter, or a third of six is missing and no change can be read.
+func TestStoppedKeeperDoesNotCountForTheQuorum(t *testing.T) {
+	cases := []struct {
+		name string
+		// successors is the number of keepers that are started, and of those that are
+		// stopped after them.
+		successors int
+		// isLeaderStopped selects the leader as the first keeper to stop, and
+		// isSuccessorReady whether the successors vote by then.
+		isLeaderStopped, isSuccessorReady bool
+	}{
+		{"the leader", 1, true, true},
+		{"a follower", 1, false, true},
+		{"the leader before its successor votes", 1, true, false},
+		{"a follower before its successor votes", 1, false, false},
+		{"two in a row", 2, true, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			gr := newGroup(t, groupSize+tc.successors)
+			for index := range groupSize {
+				gr.start(index, true)
+			}
+			gr.until("complete group", func() bool { return gr.voters() == groupSize })
+			gr.change(1, 0)
+			for index := range tc.successors {
+				gr.start(groupSize+index, false)
+			}
+			started := time.Now()
+			if tc.isSuccessorReady {
+				gr.until("successors that vote", func() bool { return gr.voters() == groupSize+tc.successors })
+			}
+			var stopped []int
+			for range tc.successors {
+				gr.until("leader", func() bool { return gr.leader() >= 0 })
+				index := gr.leader()
+				if !tc.isLeaderStopped {
+					index = (index + 1) % groupSize
+				}
+				gr.stop(index)
+				stopped = append(stopped, index)
+			}
+			if !tc.isSuccessorReady {
+				time.Sleep(time.Until(started.Add(catchUpTime)))
+			}
+			gr.change(2, 1)
+			var lost []int
+			for index := range gr.nodes {
+				if !slices.Contains(stopped, index) && len(lost) < 2 {
+					gr.kill(index)
+					is.NoErr(os.RemoveAll(gr.folder(index)))
+					lost = append(lost, index)
+				}
+			}
+			for _, index := range lost {
+				gr.start(index, false)
+			}
+			is.Equal(gr.newest(), uint64(2))
+			gr.until("repaired group", func() bool { return gr.voters() == groupSize })
+		})
+	}
+}
+
+// TestRestartDoesNotShrinkTheGroup stops keepers one after the other and starts each
+// again. Without a successor they must stay voters.
+func TestRestartDoesNotShrinkTheGroup(t *testing.T) {
+	is := is.New(t)
+	gr := newGroup(t, groupSize)
+	for index := range groupSize {
+		gr.start(index, true)
+	}
+	gr.until("complete group", func() bool { return gr.voters() == groupSize })
+	gr.change(1, 0)
+	for index := range groupSize {
+		id := gr.nodes[index].server.Keeper().ID()
+		gr.stop(index)
+		gr.until("leader", func() bool { return gr.leader() >= 0 })
+		is.True(gr.members().IsVoter(id)) // It comes back as the voter that it was.
+		gr.start(index, false)
+		gr.until("complete group", func() bool { return gr.voters() == groupSize })
+	}
+	is.Equal(gr.newest(), uint64(1))
+}
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -68,7 +68,7 @@
 	if no.log.termOrZero(no.commit) != no.hardState.Term {
 		return 0, ErrNotReady
 	}
-	if no.configs[len(no.configs)-1].index > no.commit {
+	if !no.IsConfigCommitted() {
 		return 0, ErrChangeInProgress
 	}
 	if !config.HasQuorum(func(id string) bool { return no.isReachable(now, id) }) {
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -125,6 +125,9 @@
 // Config returns the newest membership in the log, whether committed or not.
 func (no *Node) Config() Config { return no.configs[len(no.configs)-1].config }
 
+// IsConfigCommitted reports whether the newest membership is known to be committed.
+func (no *Node) IsConfigCommitted() bool { return no.configs[len(no.configs)-1].index <= no.commit }
+
 // Leader returns the ID of the current leader, or "" if it is unknown.
 func (no *Node) Leader() string { return no.leader }
 
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -65,6 +65,7 @@
 	KeeperReconfigures = define(506, "keeperRegroups", logrus.InfoLevel, "The leader adds, promotes or removes a keeper without an operator's command.")
 	KeeperReopened     = define(507, "keeperReopened", logrus.InfoLevel, "The keeper reopened its disk after a fault and rejoined the group.")
 	KeeperBlocked      = define(508, "keeperBlocked", logrus.WarnLevel, "Storing or applying entries took this keeper long, for example because its disk stalls.")
+	KeeperLeaves       = define(509, "keeperLeaves", logrus.InfoLevel, "The keeper shuts down and has asked whether its process may end or is removed from the group first.")
 	LinkOpened         = define(600, "linkOpened", logrus.DebugLevel, "A link to another process was opened.")
 	LinkLost           = define(601, "linkLost", logrus.InfoLevel, "A link to another process was lost.")
 	CredentialsRefused = define(602, "credentialsRefused", logrus.WarnLevel, "A call without valid credentials was rejected.")
--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -10,6 +10,11 @@
 // that lost its disk joins as a new member and can't vote in place of the old one,
 // whose votes it no longer knows.
 //
+// A group of more voters than its planned size needs a larger quorum, so every voter
+// that isn't running takes away from what it tolerates. It therefore removes a voter
+// beyond the planned size as soon as it is unresponsive or shuts down, and a keeper
+// that shuts down waits for MayStop before its process ends.
+//
 // Usage, by the leader:
 //
 //	step := reconfig.Next(view)
@@ -27,9 +32,12 @@
 	// livenessTimeout is how long a join request or a response counts as a sign of
 	// life. It is several times the interval at which join requests are sent.
 	livenessTimeout = 2 * time.Second
-	// removeAfter is how long a member must be unresponsive before it is removed. A
-	// keeper that merely restarts is back sooner.
-	removeAfter = 3 * time.Second
+	// removeLearnerAfter is how long a learner must be unresponsive before it is
+	// removed. One that merely restarts is back sooner.
+	removeLearnerAfter = 3 * time.Second
+	// removeVoterAfter is how long a voter must be unresponsive before it is removed
+	// from a group with more voters than planned. One that comes back joins again.
+	removeVoterAfter = time.Second
 )
 
 // JoinRequest is sent to the others by a keeper that is not a voter or knows no
@@ -58,10 +66,16 @@
 
 // View is the state of the group as seen by the leader.
 type View struct {
-	Now          time.Time
-	Self         string
-	Config       consensus.Config
+	Now    time.Time
+	Self   string
+	Config consensus.Config
+	// IsConfigCommitted reports whether Config is committed.
+	IsConfigCommitted bool
+	// JoinRequests has at most one request of each keeper, and none of a keeper in
+	// Stopping.
 	JoinRequests []ReceivedJoinRequest
+	// Stopping holds the keepers that shut down, by ID, and when each last said so.
+	Stopping map[string]time.Time
 	// Contacts is keyed by member ID.
 	Contacts map[string]Contact
 	// LeaderSince is when this keeper became the leader. It received no responses
@@ -118,7 +132,7 @@
 
 // Next returns the next membership change, or a Step of kind None if none is due.
 func Next(view View) Step {
-	for _, plan := range []func(View) Step{removeReplaced, addLearner, promoteLearner, removeUnresponsive} {
+	for _, plan := range []func(View) Step{removeReplaced, removeUnresponsive, removeStopping, addLearner, promoteLearner} {
 		if step := plan(view); step.Kind != None {
 			return step
 		}
@@ -126,6 +140,40 @@
 	return Step{}
 }
 
+// MayStop reports whether the process of a keeper that shuts down may end. It may
+// not while the keeper is a voter that is about to be removed: the group has more
+// voters than planned, or will have once the successor of the keeper votes.
+func MayStop(view View, id string) bool {
+	if mem, known := view.Config.Find(id); known && !mem.Voter {
+		return true
+	}
+	if !view.IsConfigCommitted {
+		return false
+	}
+	if !view.Config.IsVoter(id) {
+		return true
+	}
+	return view.Config.Voters() <= view.Size && !view.hasCandidate()
+}
+
+// hasCandidate reports whether a keeper that is running is about to become a voter.
+func (vi View) hasCandidate() bool {
+	for _, req := range vi.JoinRequests {
+		if !vi.Config.IsVoter(req.Member.ID) && vi.isLive(req) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(vi.Config.Members, func(mem consensus.Member) bool {
+		return !mem.Voter && !vi.isStopping(mem.ID) && vi.Now.Sub(vi.Contacts[mem.ID].LastResponseAt) < livenessTimeout
+	})
+}
+
+// isStopping reports whether a keeper said recently that it shuts down.
+func (vi View) isStopping(id string) bool {
+	since, ok := vi.Stopping[id]
+	return ok && vi.Now.Sub(since) < livenessTimeout
+}
+
 // removeReplaced removes a member whose address is now used by another member: the
 // keeper lost its disk and has joined under a new ID.
 func removeReplaced(view View) Step {
@@ -153,11 +201,23 @@
 	return Step{}
 }
 
+// removeStopping removes a learner that shuts down, and a voter that does if at
+// least Size voters remain.
+func removeStopping(view View) Step {
+	voters := view.Config.Voters()
+	for _, mem := range view.Config.Members {
+		if view.isStopping(mem.ID) && (!mem.Voter || voters > view.Size) {
+			return Step{Kind: Remove, Member: mem, Reason: "it shuts down"}
+		}
+	}
+	return Step{}
+}
+
 // promoteLearner makes a learner that has caught up a voter.
 func promoteLearner(view View) Step {
 	for _, mem := range view.Config.Members {
 		contact := view.Contacts[mem.ID]
-		if !mem.Voter && contact.IsCaughtUp && view.Now.Sub(contact.LastResponseAt) < livenessTimeout {
+		if !mem.Voter && !view.isStopping(mem.ID) && contact.IsCaughtUp && view.Now.Sub(contact.LastResponseAt) < livenessTimeout {
 			return Step{Kind: Promote, Member: mem, Reason: "it has caught up"}
 		}
 	}
@@ -174,6 +234,10 @@
 		if lastSeen.Before(view.LeaderSince) {
 			lastSeen = view.LeaderSince
 		}
+		removeAfter := removeLearnerAfter
+		if mem.Voter {
+			removeAfter = removeVoterAfter
+		}
 		isUnresponsive := mem.ID != view.Self && view.Now.Sub(lastSeen) >= removeAfter
 		if isUnresponsive && (!mem.Voter || voters > view.Size) {
 			return Step{Kind: Remove, Member: mem, Reason: "it is unresponsive and enough voters remain"}
--- a/core/reconfig/reconfig_test.go
+++ b/core/reconfig/reconfig_test.go
@@ -66,19 +66,27 @@
 		leaderSince time.Time
 		kind        reconfig.Kind
 		id          string
+		stopping    string
 	}{
-		{"no change needed", five, nil, contacts(), now.Add(-time.Hour), reconfig.None, ""},
-		{"joining keeper is added as learner", five, []reconfig.ReceivedJoinRequest{joinRequest("f", "6", true)}, contacts(), now.Add(-time.Hour), reconfig.Add, "f"},
-		{"learner that caught up is promoted", with(member("f", "6", false)), nil, contacts(), now.Add(-time.Hour), reconfig.Promote, "f"},
-		{"member is removed once its successor with a new disk has joined", with(member("b2", "2", false)), []reconfig.ReceivedJoinRequest{joinRequest("b2", "2", false)}, contacts("b"), now.Add(-time.Hour), reconfig.Remove, "b"},
-		{"unresponsive voter stays while too few remain", five, nil, contacts("b"), now.Add(-time.Hour), reconfig.None, ""},
-		{"unresponsive voter is removed when enough remain", with(member("f", "6", true)), nil, contacts("b"), now.Add(-time.Hour), reconfig.Remove, "b"},
-		{"new leader has not received responses yet", with(member("f", "6", true)), nil, contacts("b"), now, reconfig.None, ""},
+		{"no change needed", five, nil, contacts(), now.Add(-time.Hour), reconfig.None, "", ""},
+		{"joining keeper is added as learner", five, []reconfig.ReceivedJoinRequest{joinRequest("f", "6", true)}, contacts(), now.Add(-time.Hour), reconfig.Add, "f", ""},
+		{"learner that caught up is promoted", with(member("f", "6", false)), nil, contacts(), now.Add(-time.Hour), reconfig.Promote, "f", ""},
+		{"member is removed once its successor with a new disk has joined", with(member("b2", "2", false)), []reconfig.ReceivedJoinRequest{joinRequest("b2", "2", false)}, contacts("b"), now.Add(-time.Hour), reconfig.Remove, "b", ""},
+		{"unresponsive voter stays while too few remain", five, nil, contacts("b"), now.Add(-time.Hour), reconfig.None, "", ""},
+		{"unresponsive voter is removed when enough remain", with(member("f", "6", true)), nil, contacts("b"), now.Add(-time.Hour), reconfig.Remove, "b", ""},
+		{"new leader has not received responses yet", with(member("f", "6", true)), nil, contacts("b"), now, reconfig.None, "", ""},
+		{"stopping voter stays while too few remain", five, nil, contacts(), now.Add(-time.Hour), reconfig.None, "", "b"},
+		{"stopping voter is removed when enough remain", with(member("f", "6", true)), nil, contacts(), now.Add(-time.Hour), reconfig.Remove, "b", "b"},
+		{"stopping leader removes itself", with(member("f", "6", true)), nil, contacts(), now.Add(-time.Hour), reconfig.Remove, "a", "a"},
+		{"stopping learner is removed, not promoted", with(member("f", "6", false)), nil, contacts(), now.Add(-time.Hour), reconfig.Remove, "f", "f"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			step := reconfig.Next(reconfig.View{Now: now, Self: "a", Config: tc.config, JoinRequests: tc.requests, Contacts: tc.contacts, LeaderSince: tc.leaderSince, Size: 5})
+			step := reconfig.Next(reconfig.View{
+				Now: now, Self: "a", Config: tc.config, JoinRequests: tc.requests, Contacts: tc.contacts, LeaderSince: tc.leaderSince, Size: 5,
+				Stopping: map[string]time.Time{tc.stopping: now},
+			})
 			is.Equal(step.Kind, tc.kind)
 			is.Equal(step.Member.ID, tc.id)
 		})
