fix(keeper): a keeper with a new disk asks those that it receives messages from to join

What callers saw: nothing directly. While two keepers with new disks wait to join, the group tolerates no further loss.

Cause: a keeper that isn't a member sends join requests to the seeds and to the keepers in the member table. After one seed was replaced and the other two have lost their disks, neither leads to the group, until gossip does. All the while the keeper receives messages of the leader, which still sends to its address.

Change: join requests also go to the senders of consensus messages.

--- a/cactuskeeper/keeper/group.go
+++ b/cactuskeeper/keeper/group.go
@@ -99,10 +99,11 @@
 }
 
 // sendJoinRequests sends a join request to every address at which a keeper may
-// listen.
+// listen. Those that sent a message to this keeper matter when it lost its disk and
+// none of the seeds knows the group any more.
 func (ke *Keeper) sendJoinRequests() {
 	req := ke.joinRequest()
-	addresses := slices.Concat(ke.group.opts.Seeds(), ke.group.opts.KnownKeepers())
+	addresses := slices.Concat(ke.group.opts.Seeds(), ke.group.opts.KnownKeepers(), ke.transport.knownAddresses())
 	slices.Sort(addresses)
 	for _, address := range slices.Compact(addresses) {
 		if address == ke.opts.PeerAddress {
--- a/cactuskeeper/keeper/transport.go
+++ b/cactuskeeper/keeper/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -105,6 +106,14 @@
 	}
 }
 
+// knownAddresses returns the peer addresses of the group's members and of all keepers
+// that sent a message.
+func (tr *transport) knownAddresses() []string {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return slices.Collect(maps.Values(tr.addresses))
+}
+
 // send queues a message and never blocks.
 func (tr *transport) send(msg consensus.Message) {
 	tr.mu.Lock()
--- a/cactuskeeper/server/server_test.go
+++ b/cactuskeeper/server/server_test.go
@@ -382,6 +382,34 @@
 	}
 }
 
+// TestKeeperWithNewDiskJoinsWithoutSeeds replaces one of the three seeds and wipes the
+// other two, so that a keeper with a new disk hears of the group only from the keepers
+// that still send messages to its address.
+func TestKeeperWithNewDiskJoinsWithoutSeeds(t *testing.T) {
+	is := is.New(t)
+	gr := newGroup(t, groupSize+1)
+	for index := range groupSize {
+		gr.start(index, true)
+	}
+	gr.until("complete group", func() bool { return gr.voters() == groupSize })
+	gr.change(1, 0)
+	gr.start(groupSize, false)
+	gr.until("successor that votes", func() bool { return gr.voters() == groupSize+1 })
+	gr.stop(0)
+	for _, index := range []int{1, 2} {
+		gr.kill(index)
+		is.NoErr(os.RemoveAll(gr.folder(index)))
+	}
+	start := time.Now()
+	for _, index := range []int{1, 2} {
+		gr.start(index, false)
+	}
+	gr.until("repaired group", func() bool { return gr.voters() == groupSize })
+	if took := time.Since(start); took > catchUpTime {
+		t.Errorf("repaired after %s, want %s at most", took, catchUpTime)
+	}
+}
+
 // TestRestartDoesNotShrinkTheGroup stops keepers one after the other and starts each
 // again. Without a successor they must stay voters.
 func TestRestartDoesNotShrinkTheGroup(t *testing.T) {
