fix(gate): an upstream that has left stays away after a restart and a late announcement

Requests reach an upstream more than 2 s after its leave was confirmed, and are lost when it exits.

Cause: what has left was known to one process, for 5 s. An announcement can be later than that, and a daemon has no disk.

The event upstreamAnnounced follows the departure, from a restarted process or more than 5 s later. Ruled out: that a sequence is compared wrongly, and that other daemons route to it without its gate.

They are part of the daemon's record in the member table. The other daemons and the keepers keep them over all its starts and hand them to the next one, which registers no upstream before one of them has responded (5 s at most).

No existing test was changed but for the added argument of Table.SetUpstreams.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -61,6 +61,12 @@
 	// maxBodyMemory limits the bodies of requests and responses that a daemon holds,
 	// in bytes: half of the 32 MB that a daemon may use (docs/CAPACITY.md).
 	maxBodyMemory = 16 << 20
+	// maxInheritWait is how long an announcement waits for the departures from earlier
+	// starts of the daemon. Upstreams wait for a second.
+	maxInheritWait = 800 * time.Millisecond
+	// maxInheritAge is how long after its start a daemon that gets no response from
+	// the fleet rejects the announcements of upstreams that it doesn't know.
+	maxInheritAge = 5 * time.Second
 )
 
 // withdrawMargins are the times before the deadline of a shutdown at which
@@ -138,7 +144,7 @@
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
 	bodies := bodybuffer.New(maxBodyMemory)
-	da.gate = gate.New(gate.Options{Bodies: bodies, Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
+	da.gate = gate.New(gate.Options{Bodies: bodies, Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, Inherited: da.inheritedDepartures, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
 	ingressOpts := ingress.Options{
 		Bodies: bodies,
 		Clock:  opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
@@ -265,7 +271,20 @@
 
 // publishUpstreams updates this daemon's upstreams in the member table.
 func (da *Daemon) publishUpstreams() {
-	da.fleet.SetUpstreams(da.gate.Records())
+	da.fleet.SetUpstreams(da.gate.Records(), da.gate.Departed())
+}
+
+// inheritedDepartures returns the departures from earlier starts of this daemon, which
+// has no disk. Other daemons and the keepers know them.
+func (da *Daemon) inheritedDepartures() ([]member.Departure, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxInheritWait)
+	defer cancel()
+	inherited, err := da.fleet.Inherited(ctx)
+	if err != nil && da.opts.Clock.Now().Sub(da.started) > maxInheritAge {
+		da.opts.Log.Write(events.DeparturesUnknown, logrus.Fields{"error": err.Error()})
+		return nil, nil
+	}
+	return inherited, err
 }
 
 // logRefusedCredentials logs and counts a request with invalid credentials.
@@ -286,6 +305,7 @@
 		case <-ctx.Done():
 			return
 		}
+		da.gate.Inherit(da.fleet.KnownInherited())
 		if da.gate.Tick() {
 			da.publishUpstreams()
 		}
@@ -297,7 +317,7 @@
 }
 
 func (da *Daemon) operatorsHandler() http.Handler {
-	ops := process.NewOperatorAPI(da.opts.OperatorTokens, da.status, da.dump, da.metrics)
+	ops := process.NewOperatorAPI(da.opts.OperatorTokens, da.status, da.Dump, da.metrics)
 	process.Mount(ops.Mux(), fleetserver.New, fleetserver.Mount, genfleet.NewEndpoints(fleet.NewService(da.fleet)))
 	upstreams := goahttp.NewMuxer()
 	process.Mount(upstreams, announceserver.New, announceserver.Mount, genannounce.NewEndpoints(gate.NewAnnounceService(da.gate)))
@@ -320,7 +340,8 @@
 	}
 }
 
-func (da *Daemon) dump() map[string]any {
+// Dump returns the state of the daemon.
+func (da *Daemon) Dump() map[string]any {
 	current := da.replica.Current()
 	records, _ := da.fleet.Members()
 	dump := map[string]any{
--- a/cactusd/daemon/upstreams.go
+++ b/cactusd/daemon/upstreams.go
@@ -14,12 +14,14 @@
 var ErrInvalidAnnouncement = gate.ErrInvalid
 
 // Announce registers an upstream or renews its lease. An announcement that
-// arrives after a later one is ignored without an error.
+// arrives after a later one, or after the upstream has left, is ignored without an
+// error.
 func (da *Daemon) Announce(ann Announcement) error {
-	if err := da.gate.Announce(ann); err != nil && !errors.Is(err, gate.ErrSuperseded) {
-		return err
+	err := da.gate.Announce(ann)
+	if errors.Is(err, gate.ErrSuperseded) || errors.Is(err, gate.ErrDeparted) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // RegisterLeaving stops admission to an upstream. If the upstream is unknown,
@@ -33,8 +35,11 @@
 }
 
 // Leave stops admission to an upstream, unless it started after startedAt. If the
-// upstream is unknown, Leave does nothing and returns no error.
+// upstream is unknown, Leave only remembers the start and returns no error.
 func (da *Daemon) Leave(id string, startedAt time.Time) error {
+	// A daemon that has just started can tell nobody before it knows the fleet, and
+	// would lose the departure with its process. The leave holds in any case.
+	_, _ = da.inheritedDepartures()
 	_, err := da.gate.LeaveInstance(id, startedAt)
 	if errors.Is(err, gate.ErrUnknownUpstream) {
 		return nil
--- /dev/null
+++ b/cactusd/internal/gate/departures.go
@@ -0,0 +1,43 @@
+package gate
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"cactusstream.example/core/member"
+)
+
+// departures remembers which starts of upstreams have left for good, for longer than an
+// announcement may be delayed on its way. An upstream without a start time can't be told
+// from its next start, so it isn't remembered here.
+//
+// Lock order: no other lock is taken while departures.mu is held.
+type departures struct {
+	mu   sync.Mutex
+	list []member.Departure
+}
+
+func (de *departures) add(id string, startedAt time.Time) {
+	if startedAt.IsZero() {
+		return
+	}
+	de.merge([]member.Departure{{ID: id, StartedMS: startedAt.UnixMilli()}})
+}
+
+func (de *departures) merge(list []member.Departure) {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	de.list = member.MergeDepartures(de.list, list)
+}
+
+func (de *departures) has(id string, startedAt time.Time) bool {
+	return !startedAt.IsZero() && slices.Contains(de.all(), member.Departure{ID: id, StartedMS: startedAt.UnixMilli()})
+}
+
+// all returns the departures, the oldest first. The caller must not change them.
+func (de *departures) all() []member.Departure {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	return de.list
+}
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -74,14 +74,19 @@
 	// UpstreamCount returns the number of upstreams of a service in the fleet.
 	// If it is nil, one is assumed.
 	UpstreamCount func(service string) int
-	// OnChange is called after a change of the upstreams' records.
+	// OnChange is called after a change of the upstreams' records or of the departures.
 	OnChange func()
+	// Inherited returns the departures from earlier starts of the daemon. It may wait
+	// for them, and returns an error if they are not known yet. If it is nil, there are
+	// none.
+	Inherited func() ([]member.Departure, error)
 }
 
 // Gate controls admission to the upstreams of one VM. It is safe for concurrent
 // use.
 type Gate struct {
-	opts Options
+	opts     Options
+	departed *departures
 
 	mu       sync.Mutex
 	stopping bool
@@ -91,8 +96,10 @@
 // The errors that announcements, leaves and reports return.
 var (
 	ErrInvalid         = errors.New("gate: invalid announcement")
+	ErrDeparted        = errors.New("gate: this start of the upstream has left")
 	ErrRecentlyLeft    = errors.New("gate: the upstream left recently; announce it again in a few seconds")
 	ErrSuperseded      = errors.New("gate: superseded by a later announcement of the upstream")
+	ErrNotReady        = errors.New("gate: it is not known yet whether the upstream has left")
 	ErrConflict        = errors.New("gate: the upstream is registered with a different service, address or number of slots")
 	ErrStopping        = errors.New("gate: the daemon is shutting down")
 	ErrUnknownUpstream = errors.New("gate: unknown upstream; announce it first")
@@ -100,7 +107,7 @@
 
 // New returns a Gate without upstreams.
 func New(opts Options) *Gate {
-	return &Gate{opts: opts, guards: make(map[string]*guard)}
+	return &Gate{opts: opts, departed: &departures{}, guards: make(map[string]*guard)}
 }
 
 // concurrency returns the maximum number of concurrent requests to the
@@ -148,6 +155,13 @@
 	if err := ann.validate(ga.opts.Clock.Now()); err != nil {
 		return err
 	}
+	if ga.opts.Inherited != nil && !ann.StartedAt.IsZero() && !ga.isRegistered(ann) {
+		inherited, err := ga.opts.Inherited()
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrNotReady, err)
+		}
+		ga.Inherit(inherited)
+	}
 	isNew, err := ga.register(ann)
 	if err != nil || !isNew {
 		return err
@@ -157,6 +171,25 @@
 	return nil
 }
 
+// Inherit adds departures from earlier starts of the daemon, and stops admission to
+// the upstreams among them.
+func (ga *Gate) Inherit(list []member.Departure) {
+	if len(list) == 0 {
+		return
+	}
+	ga.departed.merge(list)
+	for _, gu := range ga.sortedGuards() {
+		if ga.departed.has(gu.ann.ID, gu.ann.StartedAt) && !gu.isLeaving() {
+			gu.leave("left before the daemon started")
+			ga.opts.OnChange()
+		}
+	}
+}
+
+// Departed returns the starts of upstreams that have left for good, the oldest first.
+// The caller must not change them.
+func (ga *Gate) Departed() []member.Departure { return ga.departed.all() }
+
 // Dump returns the state of every upstream.
 func (ga *Gate) Dump() []map[string]any {
 	var list []map[string]any
@@ -173,8 +206,11 @@
 }
 
 // LeaveInstance is like Leave, but ignores an upstream that started after startedAt.
-// The zero time matches every upstream.
+// The zero time matches every upstream. The start is remembered, also that of an
+// unknown upstream, so that a delayed announcement of it has no effect.
 func (ga *Gate) LeaveInstance(id string, startedAt time.Time) (int, error) {
+	ga.departed.add(id, startedAt)
+	defer ga.opts.OnChange()
 	gu, ok := ga.find(id)
 	if !ok {
 		return 0, ErrUnknownUpstream
@@ -182,9 +218,7 @@
 	if !startedAt.IsZero() && gu.ann.StartedAt.After(startedAt) {
 		return 0, nil
 	}
-	inFlight := gu.leave("leave announced")
-	ga.opts.OnChange()
-	return inFlight, nil
+	return gu.depart("leave announced"), nil
 }
 
 // Records returns the records of all upstreams, ordered by id.
@@ -253,9 +287,16 @@
 	return changed
 }
 
+// isRegistered reports whether this start of an upstream is registered.
+func (ga *Gate) isRegistered(ann Announcement) bool {
+	gu, ok := ga.find(ann.ID)
+	return ok && gu.ann.StartedAt.Equal(ann.StartedAt)
+}
+
 // register adds an announced upstream or renews its lease, and reports whether
-// the upstream is new. It rejects announcements from before the upstream's last
-// start, and announcements that arrive after a later one of the same start.
+// the upstream is new. It rejects announcements of a start that has left, those from
+// before the upstream's last start, and those that arrive after a later one of the
+// same start.
 func (ga *Gate) register(ann Announcement) (bool, error) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -263,12 +304,16 @@
 		return false, ErrStopping
 	}
 	gu := ga.guards[ann.ID]
+	if ga.departed.has(ann.ID, ann.StartedAt) && (gu == nil || ann.StartedAt.After(gu.ann.StartedAt)) {
+		ga.opts.Log.Write(events.UpstreamLate, logrus.Fields{"upstream": ann.ID, "sequence": ann.Sequence})
+		return false, ErrDeparted
+	}
 	if gu != nil && ann.StartedAt.After(gu.ann.StartedAt) && !gu.ann.StartedAt.IsZero() {
-		gu.leave("restarted")
+		gu.depart("restarted")
 		gu = nil
 	}
 	if gu == nil {
-		ga.guards[ann.ID] = newGuard(ann, ga.opts)
+		ga.guards[ann.ID] = newGuard(ann, ga.opts, ga.departed)
 		return true, nil
 	}
 	if ann.StartedAt.Before(gu.ann.StartedAt) {
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -21,8 +21,8 @@
 const (
 	// idlePollInterval is how often a shutdown checks for requests in flight.
 	idlePollInterval = 5 * time.Millisecond
-	// leftRetention is how long an upstream that left is remembered, so that
-	// delayed or duplicate announcements don't register it again.
+	// leftRetention is how long the guard of an upstream that left is kept. Without a
+	// start time, delayed announcements can't be recognised after that.
 	leftRetention = 5 * time.Second
 	// maxTrackedKinds is the number of request kinds whose latencies are kept.
 	// When it is reached, all latencies are discarded.
@@ -40,6 +40,8 @@
 	ann    Announcement
 	opts   Options
 	client *upstreamClient
+	// departed is shared by all guards of the gate.
+	departed *departures
 
 	mu          sync.Mutex
 	queue       *rankqueue.Queue
@@ -71,12 +73,13 @@
 	lastState health.State
 }
 
-func newGuard(ann Announcement, opts Options) *guard {
+func newGuard(ann Announcement, opts Options, departed *departures) *guard {
 	policy := opts.Policy(ann.Service)
 	now := opts.Clock.Now()
 	return &guard{
 		ann:         ann,
 		opts:        opts,
+		departed:    departed,
 		client:      newUpstreamClient(ann, opts.Dialect, opts.Bodies),
 		queue:       rankqueue.New(ann.concurrency(), queuePolicy(policy)),
 		detector:    health.NewDetector(healthPolicy(policy)),
@@ -144,6 +147,12 @@
 	return gu.queue.Running()
 }
 
+// depart is like leave, for an upstream that never comes back with the same start.
+func (gu *guard) depart(reason string) int {
+	gu.departed.add(gu.ann.ID, gu.ann.StartedAt)
+	return gu.leave(reason)
+}
+
 // tick applies the current settings and every state change that depends on
 // time: an expired lease, the end of the warm-up, and timeouts of the health
 // detector. It reports whether the announced record changed.
@@ -415,7 +424,7 @@
 	changed = gu.updateState(now) || changed
 	gu.mu.Unlock()
 	if sent.leaving {
-		gu.leave("leaving named in an answer")
+		gu.depart("leaving named in an answer")
 		changed = true
 	}
 	gu.opts.Metrics.Observe("gate.runMicros", took)
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -52,6 +52,8 @@
 	UpstreamSuspected  = define(306, "upstreamDoubtful", logrus.InfoLevel, "The gate suspects that its upstream is in a failure burst; only requests that may be retried are sent to it.")
 	UpstreamTrusted    = define(307, "upstreamTrusted", logrus.InfoLevel, "The gate considers the failure burst of its upstream to be over and trusts it again.")
 	UpstreamLimit      = define(308, "upstreamLimit", logrus.InfoLevel, "An upstream named, changed or withdrew a limit on its requests; the field perSecond is -1 if there is none.")
+	UpstreamLate       = define(309, "upstreamLate", logrus.InfoLevel, "A delayed announcement of an upstream that has left was ignored.")
+	DeparturesUnknown  = define(310, "departuresUnknown", logrus.WarnLevel, "No other process has responded since the daemon started, so it accepts an upstream without knowing whether it has left.")
 	RequestFailed      = define(400, "requestFailed", logrus.InfoLevel, "The fleet itself answered a request with an error.")
 	HolderReady        = define(401, "holderReady", logrus.InfoLevel, "A claim holder now votes on keys that were created after its start.")
 	RequestEnded       = define(402, "requestEnded", logrus.InfoLevel, "A request was answered with the response of an upstream.")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -10,7 +10,7 @@
 //	fl, err := fleet.New(options)
 //	go fl.Run(ctx)
 //	view := fl.View()           // for routing; cheap
-//	fl.SetUpstreams(upstreams)  // replaces this daemon's upstreams
+//	fl.SetUpstreams(upstreams, departed)  // replaces this daemon's upstreams
 //	fl.Leave()
 //
 // Lock order: while Fleet.mu is held, no message is sent and no lock is acquired but
@@ -89,6 +89,10 @@
 	sock *net.UDPConn
 	view atomic.Pointer[View]
 
+	// synced is closed after the first exchange with another process.
+	synced     chan struct{}
+	syncedOnce sync.Once
+
 	mu    sync.Mutex
 	table *member.Table
 	rng   *rand.Rand
@@ -111,6 +115,8 @@
 		sock:  sock,
 		table: member.NewTable(opts.Self, memberOpts, opts.Clock.Now()),
 		rng:   rand.New(rand.NewPCG(opts.RandomSeed, 3)),
+
+		synced: make(chan struct{}),
 	}
 	fl.refreshView()
 	link.Handle(opts.Mux, syncMethod, fl.handleSync)
@@ -125,6 +131,27 @@
 	return fl.table.PickPeerWithNewerSettings(version)
 }
 
+// Inherited returns the departures of this daemon's earlier starts that other daemons
+// have told. It waits for the first exchange with another process, if there is a seed
+// to ask, until the context ends, and returns the error of the context then.
+func (fl *Fleet) Inherited(ctx context.Context) ([]member.Departure, error) {
+	if len(fl.otherSeeds()) > 0 {
+		select {
+		case <-fl.synced:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("fleet: no other process has responded since the start: %w", ctx.Err())
+		}
+	}
+	return fl.KnownInherited(), nil
+}
+
+// KnownInherited is like Inherited, but does not wait.
+func (fl *Fleet) KnownInherited() []member.Departure {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.table.Inherited()
+}
+
 // Close closes the socket, which also ends receiving.
 func (fl *Fleet) Close() {
 	_ = fl.sock.Close()
@@ -175,10 +202,11 @@
 	}
 }
 
-// SetUpstreams replaces the upstreams of this daemon and announces them.
-func (fl *Fleet) SetUpstreams(upstreams []member.Upstream) {
+// SetUpstreams replaces the upstreams of this daemon and its departures, and announces
+// them.
+func (fl *Fleet) SetUpstreams(upstreams []member.Upstream, departed []member.Departure) {
 	fl.mu.Lock()
-	out := fl.table.SetUpstreams(fl.opts.Clock.Now(), upstreams)
+	out := fl.table.SetUpstreams(fl.opts.Clock.Now(), upstreams, departed)
 	fl.mu.Unlock()
 	fl.sendAll(out)
 	fl.refreshView()
--- a/core/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -131,11 +131,14 @@
 		}
 		req = next
 	}
+	fl.syncedOnce.Do(func() { close(fl.synced) })
 	return true
 }
 
-func (fl *Fleet) handleSync(_ context.Context, _ string, req member.SyncRequest) (member.SyncResponse, error) {
+func (fl *Fleet) handleSync(_ context.Context, peer string, req member.SyncRequest) (member.SyncResponse, error) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	return fl.table.AnswerSync(fl.opts.Clock.Now(), req), nil
+	resp := fl.table.AnswerSync(fl.opts.Clock.Now(), req)
+	resp.Departed = fl.table.DepartedFrom(peer)
+	return resp, nil
 }
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -13,7 +13,7 @@
 //
 //	out := table.Tick(now)               // messages to send
 //	out = table.Handle(now, msg)         // processes a received message
-//	out = table.SetUpstreams(now, list)  // replaces this daemon's upstreams
+//	out = table.SetUpstreams(now, list, departed)  // replaces this daemon's upstreams
 //	for _, rec := range table.Records() { ... }
 package member
 
@@ -89,6 +89,9 @@
 	Version         Version    `codec:"v"`
 	Status          Status     `codec:"t"`
 	Upstreams       []Upstream `codec:"u,omitempty"`
+	// Departed holds the upstreams that left the daemon's VM. The other daemons keep
+	// them for the next start of the daemon, which has no disk.
+	Departed []Departure `codec:"d,omitempty"`
 	// Keeper is set when the process is a keeper. Keepers have no upstreams.
 	Keeper bool `codec:"k,omitempty"`
 }
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -34,6 +34,9 @@
 // SyncResponse answers a SyncRequest: with the summaries of the buckets that differ, or
 // with the records that the sender of a second request lacks.
 type SyncResponse struct {
+	// Departed holds the departures of the daemon that sent the request; see
+	// Table.DepartedFrom.
+	Departed  []Departure        `codec:"d,omitempty"`
 	Buckets   []int              `codec:"b,omitempty"`
 	Summaries map[string]Summary `codec:"s,omitempty"`
 	Records   []Record           `codec:"r,omitempty"`
@@ -67,6 +70,7 @@
 // and false if there is none to send.
 func (ta *Table) ContinueSync(now time.Time, resp SyncResponse) (SyncRequest, bool) {
 	ta.Merge(now, resp.Records)
+	ta.inherited = MergeDepartures(ta.inherited, resp.Departed)
 	if len(resp.Buckets) == 0 {
 		return SyncRequest{}, false
 	}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -94,6 +94,8 @@
 	revision       uint64
 	changes        []Change
 
+	inherited []Departure
+
 	sequence    uint64
 	probe       *probe
 	nextProbeAt time.Time
@@ -116,6 +118,8 @@
 	// finalPingSent is set once a suspect was pinged a last time before it is
 	// declared dead.
 	finalPingSent bool
+	// departed holds the departures from all starts of the daemon.
+	departed []Departure
 }
 
 // probe is the probe in progress.
@@ -147,6 +151,7 @@
 	// recordBaseSize and upstreamSize estimate encoded sizes, in bytes.
 	recordBaseSize = 96
 	upstreamSize   = 72
+	departureSize  = 32
 )
 
 // DefaultOptions returns the options used in production.
@@ -220,14 +225,15 @@
 // SetSettingsVersion sets the settings version that this daemon's messages report.
 func (ta *Table) SetSettingsVersion(version uint64) { ta.settingsVersion = version }
 
-// SetUpstreams replaces the upstreams of this daemon and returns messages that
-// announce them.
-func (ta *Table) SetUpstreams(now time.Time, upstreams []Upstream) []Outgoing {
+// SetUpstreams replaces the upstreams of this daemon and its departures, and returns
+// messages that announce them.
+func (ta *Table) SetUpstreams(now time.Time, upstreams []Upstream, departed []Departure) []Outgoing {
 	ent := ta.members[ta.self]
-	if ent.record.Status == Left || slices.Equal(ent.record.Upstreams, upstreams) {
+	if ent.record.Status == Left || slices.Equal(ent.record.Upstreams, upstreams) && slices.Equal(ent.record.Departed, departed) {
 		return nil
 	}
 	ent.record.Upstreams = slices.Clone(upstreams)
+	ent.record.Departed = slices.Clone(departed)
 	ent.record.Version.Sequence++
 	ta.markChanged(ent, now)
 	return ta.sendToRandomPeers(ta.opts.Fanout*originFanoutFactor, ent.record)
@@ -262,7 +268,7 @@
 		return false // A daemon that was removed must not return through an outdated table.
 	}
 	if !known {
-		ta.members[rec.ID] = &entry{record: rec}
+		ta.members[rec.ID] = &entry{record: rec, departed: rec.Departed}
 		ta.order = append(ta.order, rec.ID)
 		pos := ta.rng.IntN(len(ta.order))
 		ta.order[pos], ta.order[len(ta.order)-1] = ta.order[len(ta.order)-1], ta.order[pos]
@@ -275,6 +281,7 @@
 	}
 	oldStatus := ent.record.Status
 	ent.record = rec
+	ent.departed = MergeDepartures(ent.departed, rec.Departed)
 	ent.finalPingSent = false
 	if oldStatus != rec.Status {
 		ta.changes = append(ta.changes, Change{ID: rec.ID, From: oldStatus, To: rec.Status, Record: rec})
@@ -405,7 +412,7 @@
 
 // recordSize returns an estimate of the encoded size of a record, in bytes.
 func recordSize(rec Record) int {
-	return recordBaseSize + len(rec.Upstreams)*upstreamSize
+	return recordBaseSize + len(rec.Upstreams)*upstreamSize + len(rec.Departed)*departureSize
 }
 
 // recordHash returns a hash of a record's ID, version and status.
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -367,7 +367,7 @@
 						id := sim.order[sim.rng.IntN(size)]
 						ups := slices.Clone(sim.nodes[id].table.Self().Upstreams)
 						ups[0].SinceMS = sim.now.UnixMilli()
-						sim.send(id, sim.nodes[id].table.SetUpstreams(sim.now, ups))
+						sim.send(id, sim.nodes[id].table.SetUpstreams(sim.now, ups, nil))
 					}
 					sim.run(time.Second)
 					seconds++
