--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -25,6 +25,9 @@
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
+// IsValidName reports whether a name may be a part of a path.
+func IsValidName(name string) bool { return namePattern.MatchString(name) }
+
 // Edit sets or unsets one key of one node.
 type Edit struct {
 	Path  string `codec:"path"`
