fix(gate): endless bodies of one upstream don't make those of others fail

What callers saw: reported by other operators, as processes that run out of memory. Here the process stays within its limit, but while an upstream sends bodies without end on all its connections, answers of others fail with 502.

Cause: all bodies of a process share one limit, first come first served, and endless ones hold all of it.

Ruled out: a head, an informational response, a trailer or a chunk extension without end, which TestEndlessResponses bounds.

Change: a quarter of the limit is reserved for bodies of up to 64 KiB.

--- a/cactusd/internal/gate/endless_test.go
+++ b/cactusd/internal/gate/endless_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cactusstream.example/cactusd/internal/gate"
 	"cactusstream.example/core/outcome"
 )
 
@@ -91,3 +93,63 @@
 		})
 	}
 }
+
+// TestManyEndlessResponsesAtOnce lets an upstream answer with bytes without end on all
+// its connections at a time, in heads and in bodies, over and over. The memory in use
+// must stay within the limit for bodies and a head for each connection, and requests to
+// another upstream of the gate must succeed all the while.
+func TestManyEndlessResponsesAtOnce(t *testing.T) {
+	const (
+		slots = 16
+		// maxHeap is the limit for bodies, which are copied as they grow, and the same
+		// again for the runtime and the upstreams of the test.
+		maxHeap  = 8 * testBodyMemory
+		duration = 2 * time.Second
+	)
+	starts := []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-A: ", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n1;"}
+	faulty, _ := serveScript(t, func(con net.Conn, number int64, req *http.Request) bool {
+		_, _ = io.WriteString(con, strings.ReplaceAll(starts[int(number)%len(starts)], "%s", req.Header.Get("X-Id")))
+		block := strings.Repeat("x", 32<<10)
+		for {
+			if _, err := io.WriteString(con, block); err != nil {
+				return false
+			}
+		}
+	})
+	sound, _ := serveScript(t, func(con net.Conn, _ int64, req *http.Request) bool {
+		writeResponse(con, req.Header.Get("X-Id"), "whole", "")
+		return true
+	})
+	is := is.New(t)
+	policy := defaultPolicy()
+	policy.BodyLimit = 64 << 20
+	ga := newPlatformGate(policy, nil)
+	announce(t, ga, faulty, slots)
+	is.NoErr(ga.Announce(gate.Announcement{ID: "sound", Service: "other", Address: sound, Slots: 1, Connections: 9}))
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	var clients sync.WaitGroup
+	for client := range slots {
+		clients.Go(func() {
+			for number := 0; ctx.Err() == nil; number++ {
+				req := platformRequest(fmt.Sprint(client, "-", number), true)
+				req.BodyLimit = policy.BodyLimit
+				ga.Run(ctx, req)
+			}
+		})
+	}
+	for number := 0; ctx.Err() == nil; number++ {
+		req := platformRequest(fmt.Sprint("sound-", number), true)
+		req.Upstream, req.Service = "sound", "other"
+		if answer := ga.Run(context.Background(), req); string(answer.Body) != "whole" {
+			t.Fatalf("request to the sound upstream: %s: %s", answer.Outcome, answer.Detail)
+		}
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		if stats.HeapAlloc > maxHeap {
+			t.Fatalf("%d bytes of heap in use", stats.HeapAlloc)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	clients.Wait()
+}
--- a/core/bodybuffer/bodybuffer.go
+++ b/core/bodybuffer/bodybuffer.go
@@ -3,7 +3,8 @@
 //
 // The second limit keeps a process alive when many peers send large bodies at the same
 // time, or bodies without end: the bodies that exceed it fail, and the process and its
-// other requests go on.
+// other requests go on. A part of the memory is reserved for small bodies, so that a
+// peer that sends endless ones doesn't make those of others fail.
 //
 // Usage:
 //
@@ -19,8 +20,15 @@
 	"sync"
 )
 
-// minCapacity is the first capacity of a body, in bytes. It doubles when it is used up.
-const minCapacity = 4 << 10
+const (
+	// minCapacity is the first capacity of a body, in bytes. It doubles when it is used
+	// up.
+	minCapacity = 4 << 10
+	// maxSmall is the largest capacity, in bytes, of a body that may use the reserved
+	// memory, and reservedFraction the divisor that gives that part of the limit.
+	maxSmall         = 64 << 10
+	reservedFraction = 4
+)
 
 var (
 	// ErrTooLarge is returned for a body that is larger than its limit.
@@ -91,9 +99,13 @@
 // grow returns a copy of a body with a larger capacity.
 func (bu *Buffer) grow(body []byte) ([]byte, error) {
 	capacity := max(minCapacity, 2*cap(body))
+	limit := bu.limit
+	if capacity > maxSmall {
+		limit -= bu.limit / reservedFraction
+	}
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
-	if bu.used-cap(body)+capacity > bu.limit {
+	if bu.used-cap(body)+capacity > limit {
 		return nil, fmt.Errorf("%w: %d of %d bytes", ErrFull, bu.used, bu.limit)
 	}
 	bu.used += capacity - cap(body)
