fix(ingress): a request that would outlast the shutdown is answered at once as not run

In a planned stop, requests sent late in the grace period on open connections are taken and passed on, and cut at its end, among them requests that may not be repeated.

Cause: while any request is in progress, idle connections stay open and new requests on them are accepted, until queued ones are withdrawn 1.5 s before the end.

Evidence: TestPlannedStopCutsNoLateRequest before the change: of four requests that take 2.4 s, sent 0.9 to 3.6 s into a grace period of 5 s, the third got 502 at the end of the period (2 of 2 runs). Ruled out: new connections, which are refused after 0.5 s.

Change: after the first 2.5 s of a shutdown the ingress takes a request only if the request's own deadline is before the end of the shutdown. The others get 503 before anything of them is passed on, also before their body is read.

After: TestPlannedStopCutsNoLateRequest passes in 2 of 2 runs, TestLateRequestsOfAShutdown for both kinds of route.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -61,6 +61,8 @@
 	// maxBodyMemory limits the bodies of requests and responses that a daemon holds,
 	// in bytes: half of the 32 MB that a daemon may use (docs/CAPACITY.md).
 	maxBodyMemory = 16 << 20
+	// answerMargin is the part of a shutdown that is left for writing answers.
+	answerMargin = 200 * time.Millisecond
 	// maxInheritWait is how long an announcement waits for the departures from earlier
 	// starts of the daemon. Upstreams wait for a second.
 	maxInheritWait = 800 * time.Millisecond
@@ -219,6 +221,7 @@
 	da.opts.Log.Write(events.ProcessStopping, nil)
 	da.callers.Drain()
 	if deadline, ok := ctx.Deadline(); ok {
+		da.ingress.Stop(deadline.Add(-answerMargin))
 		for _, margin := range withdrawMargins {
 			withdraw := time.AfterFunc(time.Until(deadline)-margin, da.ingress.CancelQueued)
 			defer withdraw.Stop()
--- /dev/null
+++ b/cactusd/daemon/stop_test.go
@@ -0,0 +1,196 @@
+package daemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cactusstream.example/cactusd/daemon"
+	"cactusstream.example/core/auth"
+	"cactusstream.example/core/clock"
+	"cactusstream.example/core/dialect"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/link"
+	"cactusstream.example/core/process"
+	"cactusstream.example/core/settings"
+	"cactusstream.example/core/settingsync"
+)
+
+const stopTestToken = "a-token-for-the-tests"
+
+// serveSettings serves a settings tree as a keeper does, and returns the address and the
+// key that the settings are signed with.
+func serveSettings(t *testing.T, tree *settings.Tree) (address string, key ed25519.PublicKey) {
+	t.Helper()
+	private := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	key = private.Public().(ed25519.PublicKey)
+	replica := settingsync.NewReplica(func() []ed25519.PublicKey { return []ed25519.PublicKey{key} })
+	if _, err := replica.Apply(settingsync.Update{Version: 1, Digest: tree.Digest(), Tree: tree.Nodes, Signature: settingsync.Sign(private, 1, tree.Digest())}); err != nil {
+		t.Fatal(err)
+	}
+	mux := link.NewMux()
+	settingsync.Serve(mux, replica, nil)
+	srv := httptest.NewServer(link.NewServer(mux, auth.NewTokens(stopTestToken), func(*http.Request) {}))
+	t.Cleanup(srv.CloseClientConnections)
+	return strings.TrimPrefix(srv.URL, "http://"), key
+}
+
+// pair is two daemons: requests arrive at the first one, and the only upstream is beside
+// the second one.
+type pair struct {
+	callers     string
+	front, back *daemon.Daemon
+}
+
+func newPair(t *testing.T, upstream http.HandlerFunc) *pair {
+	t.Helper()
+	tree := settings.NewTree().Apply([]settings.Edit{
+		{Path: "*/*/s/order", Key: "path", Value: "/order"},
+		{Path: "*/*/s/order", Key: "method", Value: "POST"},
+		{Path: "*/*/s/order", Key: "deadline", Value: "20s"},
+		{Path: "*/*/s/order", Key: "bodyLimit", Value: "8000000"},
+		{Path: "*/*", Key: "retryAttempts", Value: "1"},
+		{Path: "*/*", Key: "slowStart", Value: "0s"},
+	})
+	keeper, key := serveSettings(t, tree)
+	tokens := auth.NewTokens(stopTestToken)
+	frontPeer, callers := freeAddress(t), freeAddress(t)
+	start := func(id, peer, callers string) *daemon.Daemon {
+		da, err := daemon.New(daemon.Options{
+			Config:        process.Config{ID: id, Zone: "z", PeerAddress: peer, OperatorAddress: freeAddress(t)},
+			CallerAddress: callers, Callers: dialect.Caller{Deadline: "X-Left", StrictRejections: true}, Upstreams: dialect.DefaultUpstream(), Clock: clock.Real{},
+			Firm: "*", Place: "*", Log: events.Discard(), Seeds: func() []string { return []string{frontPeer} }, Keepers: []string{keeper},
+			FleetTokens: tokens, OperatorTokens: tokens, ServiceTokens: tokens, UpstreamTokens: tokens,
+			SettingsKeys: func() []ed25519.PublicKey { return []ed25519.PublicKey{key} },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := da.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		return da
+	}
+	pa := &pair{callers: callers, front: start("d1", frontPeer, callers), back: start("d2", freeAddress(t), freeAddress(t))}
+	srv := httptest.NewServer(upstream)
+	t.Cleanup(srv.CloseClientConnections)
+	ann := daemon.Announcement{ID: "u", Service: "s", Address: strings.TrimPrefix(srv.URL, "http://"), Slots: 16, Connections: 99}
+	if err := pa.back.Announce(ann); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		if status, _, err := pa.send(0); err == nil && status == http.StatusOK {
+			return pa
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no request is served")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// send sends a request whose answer takes a time, and returns the status and the length
+// of the body.
+func (pa *pair) send(takes time.Duration) (status, length int, err error) {
+	resp, err := http.Post(fmt.Sprintf("http://%s/order?%s", pa.callers, takes), "text/plain", strings.NewReader("x"))
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, len(body), err
+}
+
+// answerAfter answers with a body of a size once the time in the query has passed.
+func answerAfter(size int) http.HandlerFunc {
+	body := bytes.Repeat([]byte("x"), size)
+	return func(wr http.ResponseWriter, req *http.Request) {
+		takes, _ := time.ParseDuration(req.URL.RawQuery)
+		time.Sleep(takes)
+		wr.Header().Set(dialect.HeaderAttempt, req.Header.Get(dialect.HeaderAttempt))
+		wr.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		_, _ = wr.Write(body)
+	}
+}
+
+// TestPlannedStopCutsNoLateRequest stops the daemon that takes requests. Callers keep
+// their open connections and send requests at several times of the grace period. Those
+// that would outlast it must be answered at once as not run, or they are cut at its end.
+func TestPlannedStopCutsNoLateRequest(t *testing.T) {
+	is := is.New(t)
+	pa := newPair(t, answerAfter(10))
+	defer stopDaemon(t, pa.back)
+	var cons []net.Conn
+	for range 5 {
+		con, err := net.Dial("tcp", pa.callers)
+		is.NoErr(err)
+		defer func() { _ = con.Close() }()
+		is.Equal(sendOn(con, 0), nil) // The connection is in use, and idle when the stop begins.
+		cons = append(cons, con)
+	}
+	const grace = 5 * time.Second
+	busy := make(chan error, 1)
+	go func() { busy <- sendOn(cons[0], 4*time.Second) }()
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		stopped <- pa.front.Stop(ctx)
+	}()
+	late := make(chan error, len(cons)-1)
+	for _, con := range cons[1:] {
+		time.Sleep(900 * time.Millisecond)
+		go func() { late <- sendOn(con, 2400*time.Millisecond) }()
+	}
+	notRun := 0
+	for range cons[1:] {
+		err := <-late
+		if errors.Is(err, errNotRun) {
+			notRun++
+		} else if err != nil {
+			t.Errorf("a late request was cut: %v", err)
+		}
+	}
+	is.Equal(notRun, 2) // Those after 2.7 and 3.6 s.
+	is.NoErr(<-busy)
+	is.NoErr(<-stopped)
+}
+
+var errNotRun = errors.New("answered as not run")
+
+// sendOn sends a request on an open connection. It returns errNotRun for status 503.
+func sendOn(con net.Conn, takes time.Duration) error {
+	if _, err := fmt.Fprintf(con, "POST /order?%s HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx", takes); err != nil {
+		return err
+	}
+	_ = con.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(con), nil)
+	if err != nil {
+		return fmt.Errorf("read response: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusServiceUnavailable:
+		return errNotRun
+	}
+	return fmt.Errorf("status %d", resp.StatusCode)
+}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -85,12 +85,19 @@
 	started       time.Time
 	tracker       *tracker
 	withdrawn     atomic.Bool
+	shutdown      atomic.Pointer[shutdown]
 	attempts      sync.Map     // fleet.Endpoint of each running attempt, by attempt ID.
 	lastFailureAt atomic.Int64 // Unix nanoseconds of the last failure response.
 	budgets       sync.Map     // *budget.Budget by service.
 	throttles     sync.Map     // *throttle.Throttle by throttleKey.
 }
 
+// shutdown is the time span in which the daemon shuts down. Requests that still run at
+// its end are aborted.
+type shutdown struct {
+	start, end time.Time
+}
+
 type throttleKey struct {
 	service string
 	rank    int
@@ -135,6 +142,10 @@
 // daemon that has just started.
 const startupTimeout = time.Second
 
+// acceptWhileStopping is how long after the start of a shutdown all requests are still
+// accepted. Callers have been told to use another daemon by then.
+const acceptWhileStopping = 2500 * time.Millisecond
+
 // defaultName is the firm or place of a request where none is given.
 const defaultName = settings.AnyName
 
@@ -143,6 +154,20 @@
 	return &Ingress{opts: opts, started: opts.Clock.Now(), tracker: newTracker()}
 }
 
+// Stop tells the ingress that the daemon shuts down and aborts the requests that still
+// run at end. Requests are accepted for another acceptWhileStopping, and after that only
+// if they end before.
+func (in *Ingress) Stop(end time.Time) {
+	in.shutdown.Store(&shutdown{start: in.opts.Clock.Now(), end: end})
+}
+
+// outlastsShutdown reports whether a request that has just arrived may be aborted by the
+// end of the shutdown in progress, and should not be accepted any more.
+func (in *Ingress) outlastsShutdown(req *request) bool {
+	stop := in.shutdown.Load()
+	return stop != nil && req.receivedAt.Sub(stop.start) > acceptWhileStopping && req.deadline.After(stop.end)
+}
+
 // CancelQueued rejects every request that has no slot yet: those still looking for
 // an endpoint, and attempts queued at a gate.
 func (in *Ingress) CancelQueued() {
@@ -228,6 +253,9 @@
 		return req, req.reject(outcome.BadRequest, err.Error())
 	}
 	req.deadline = now.Add(limit)
+	if in.outlastsShutdown(req) {
+		return req, req.reject(outcome.Stopping, "the daemon shuts down before the request's deadline")
+	}
 	body, err := in.opts.Bodies.Read(httpReq.Body, min(req.policy.BodyLimit, wire.MaxBody))
 	if err != nil {
 		wr.Header().Set("Connection", "close") // Keeps the server from reading the rest, which may have no end.
--- a/cactusd/internal/ingress/platform_dialect_test.go
+++ b/cactusd/internal/ingress/platform_dialect_test.go
@@ -381,6 +381,41 @@
 	is.Equal(len(runner.endpointsSentTo()), 1) // The second request was not sent to any gate.
 }
 
+// TestLateRequestsOfAShutdown sends requests at several times after the start of a
+// shutdown. One that may not end before the shutdown does must be answered as not run at
+// once, and must not reach a gate; the others must be served.
+func TestLateRequestsOfAShutdown(t *testing.T) {
+	const grace = 6 * time.Second
+	cases := []struct {
+		after         time.Duration
+		timeoutMillis string
+		code          int
+	}{
+		{0, "6000", 200},
+		{2 * time.Second, "6000", 200},
+		{2600 * time.Millisecond, "6000", 503},
+		{2600 * time.Millisecond, "3000", 200},
+		{4 * time.Second, "2100", 503},
+		{4 * time.Second, "1900", 200},
+		{5900 * time.Millisecond, "500", 503},
+	}
+	for _, path := range []string{"/cut/7", "/look/7"} {
+		for _, tc := range cases {
+			t.Run(fmt.Sprint(path, tc.after, tc.timeoutMillis), func(t *testing.T) {
+				is := is.New(t)
+				runner := &estimatingRunner{estimate: noWait, answer: succeed}
+				clo := clock.NewFake(time.Now())
+				in := newPlatformIngress(t, runner, newReplica(t, newPlatformSettings()), func(opts *ingress.Options) { opts.Clock = clo })
+				in.Stop(clo.Now().Add(grace))
+				clo.Advance(tc.after)
+				rec := sendRequest(in, path, tc.timeoutMillis, "x")
+				is.Equal(rec.Code, tc.code)
+				is.Equal(len(runner.endpointsSentTo()) > 0, tc.code == 200)
+			})
+		}
+	}
+}
+
 // TestEstimatesThatArriveAfterDeadline sends requests whose deadline passes
 // while the ingress waits for further estimates.
 func TestEstimatesThatArriveAfterDeadline(t *testing.T) {
