fix(daemon): a stop waits until its answers have arrived on the other daemons

A daemon stops as planned; answers that its upstream has given in full become 502, "may have run".

Cause: the slot of a request is free as soon as its answer has been read, and the stop closes the links then. Answers that are still in a send queue, or half written, are dropped.

Ruled out: that the gate doesn't wait for its upstream.

Change: a link counts the calls of the attempts it serves until their responses are written. Drain waits for these, then for a pong, which the peer sends after it has read them. Daemon.Stop drains its links after the callers and the gate, and leaves the fleet only after that: the others close their links to a member that has left.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -167,6 +168,7 @@
 	link.Handle(mux, wire.MethodRun, func(ctx context.Context, _ string, req wire.RunRequest) (wire.RunAnswer, error) {
 		return da.gate.Run(ctx, req), nil
 	})
+	mux.Await(wire.MethodRun)
 	link.Handle(mux, wire.MethodEstimateWait, func(_ context.Context, _ string, req wire.WaitEstimateRequest) (wire.WaitEstimate, error) {
 		return da.gate.EstimateWait(req), nil
 	})
@@ -237,6 +239,7 @@
 	if da.claims != nil {
 		da.claims.Wait()
 	}
+	da.drainLinks(ctx) // Before the others close their links to a daemon that has left.
 	da.fleet.Leave()
 	err = errors.Join(err, da.operators.Shutdown(ctx))
 	da.cancel()
@@ -247,6 +250,16 @@
 	return err
 }
 
+// drainLinks waits until the other daemons have received the answers of all attempts
+// that they sent to the gate. An answer that the upstream has given frees its slot
+// before it is written.
+func (da *Daemon) drainLinks(ctx context.Context) {
+	var all sync.WaitGroup
+	all.Go(func() { da.links.Drain(ctx) })
+	all.Go(func() { da.pool.Drain(ctx) })
+	all.Wait()
+}
+
 // peerAddressOf returns the peer address of a daemon, or "" if it is unknown.
 func (da *Daemon) peerAddressOf(id string) string {
 	return da.fleet.View().Members[id].PeerAddress
--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -126,6 +127,32 @@
 	}
 }
 
+// TestPlannedStopDeliversAnswers stops the daemon beside an upstream while the upstream
+// runs requests that another daemon took. All of them are answered before the stop has to
+// end, so all answers must arrive whole, whatever their size.
+func TestPlannedStopDeliversAnswers(t *testing.T) {
+	for _, size := range []int{10, 100_000, 2_000_000} {
+		for round := range 3 {
+			t.Run(fmt.Sprint(size, "/", round), func(t *testing.T) {
+				pa := newPair(t, answerAfter(size))
+				const requests = 6
+				var all sync.WaitGroup
+				for range requests {
+					all.Go(func() {
+						if status, length, err := pa.send(700 * time.Millisecond); err != nil || status != http.StatusOK || length != size {
+							t.Errorf("a request that ran was answered with %d and %d bytes: %v", status, length, err)
+						}
+					})
+				}
+				time.Sleep(200 * time.Millisecond)
+				stopDaemon(t, pa.back)
+				all.Wait()
+				stopDaemon(t, pa.front)
+			})
+		}
+	}
+}
+
 // TestPlannedStopCutsNoLateRequest stops the daemon that takes requests. Callers keep
 // their open connections and send requests at several times of the grace period. Those
 // that would outlast it must be answered at once as not run, or they are cut at its end.
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -38,6 +38,10 @@
 	nextID     atomic.Uint64
 	// callSlots limits the number of the peer's calls that run concurrently.
 	callSlots chan struct{}
+	// awaitedCalls counts the peer's calls of the methods that Mux.Await names, and
+	// owedResponses those of them whose responses have not been written.
+	awaitedCalls  atomic.Int64
+	owedResponses atomic.Int64
 
 	mu    sync.Mutex
 	ended bool
@@ -47,10 +51,12 @@
 	cancelFuncs  map[uint64]context.CancelFunc
 }
 
-// outgoing is a queued frame. The state is nil unless the frame is a call.
+// outgoing is a queued frame. The state is nil unless the frame is a call. isOwed is
+// set for the response to an awaited call.
 type outgoing struct {
-	frame frame
-	state *atomic.Int32
+	frame  frame
+	state  *atomic.Int32
+	isOwed bool
 }
 
 // pendingCall is a call that waits for its response. Its state is a sendState.
@@ -171,6 +177,37 @@
 	_ = co.ws.CloseNow()
 }
 
+// drain returns once the peer has received the responses to all its awaited calls. A pong
+// of the peer follows every call that it sent before, and is sent only after it has read
+// all frames before the ping.
+func (co *conn) drain(ctx context.Context) {
+	for ctx.Err() == nil && !co.isClosed() {
+		calls := co.awaitedCalls.Load()
+		if calls == 0 {
+			return
+		}
+		if co.owedResponses.Load() > 0 {
+			time.Sleep(drainInterval)
+			continue
+		}
+		pingCtx, cancel := context.WithTimeout(ctx, drainPingTimeout)
+		err := co.ws.Ping(pingCtx)
+		cancel()
+		if err != nil || co.owedResponses.Load() == 0 && co.awaitedCalls.Load() == calls {
+			return
+		}
+	}
+}
+
+// drainAll drains several connections at a time.
+func drainAll(ctx context.Context, conns []*conn) {
+	var all sync.WaitGroup
+	for _, con := range conns {
+		all.Go(func() { con.drain(ctx) })
+	}
+	all.Wait()
+}
+
 func (co *conn) isClosed() bool {
 	select {
 	case <-co.closed:
@@ -310,15 +347,20 @@
 func (co *conn) serveCall(ctx context.Context, fra frame) {
 	fn, known := co.mux.callHandler(fra.Method)
 	if !known {
-		co.sendResponse(fra.ID, nil, &RemoteError{Code: "noMethod", Message: fra.Method})
+		co.sendResponse(fra.ID, nil, &RemoteError{Code: "noMethod", Message: fra.Method}, false)
 		return
 	}
 	select {
 	case co.callSlots <- struct{}{}:
 	default:
-		co.sendResponse(fra.ID, nil, &RemoteError{Code: "overloaded", Message: "too many calls in flight on the link"})
+		co.sendResponse(fra.ID, nil, &RemoteError{Code: "overloaded", Message: "too many calls in flight on the link"}, false)
 		return
 	}
+	isOwed := co.mux.isAwaited(fra.Method)
+	if isOwed {
+		co.owedResponses.Add(1)
+		co.awaitedCalls.Add(1)
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(fra.TimeoutMS)*time.Millisecond)
 	co.mu.Lock()
 	co.cancelFuncs[fra.ID] = cancel
@@ -332,17 +374,17 @@
 			<-co.callSlots
 		}()
 		body, err := fn(ctx, co.peer, fra.Body)
-		co.sendResponse(fra.ID, body, err)
+		co.sendResponse(fra.ID, body, err, isOwed)
 	}()
 }
 
-func (co *conn) sendResponse(id uint64, body []byte, err error) {
+func (co *conn) sendResponse(id uint64, body []byte, err error, isOwed bool) {
 	resp := frame{Kind: kindResponse, ID: id, Body: body}
 	if err != nil {
 		resp.Error = newRemoteError(err)
 	}
 	select {
-	case co.sendQueue <- &outgoing{frame: resp}:
+	case co.sendQueue <- &outgoing{frame: resp, isOwed: isOwed}:
 	case <-co.closed:
 	}
 }
@@ -361,6 +403,9 @@
 				co.close()
 				return
 			}
+			if out.isOwed {
+				co.owedResponses.Add(-1)
+			}
 		case <-co.closed:
 			return
 		}
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -45,6 +45,10 @@
 	maxRetainedBuffer = 64 << 10
 	pingInterval      = 1 * time.Second
 	pingTimeout       = 2 * time.Second
+	// drainInterval is how often a drain checks for responses that are not written yet,
+	// and drainPingTimeout how long it waits for the peer to receive them.
+	drainInterval    = 2 * time.Millisecond
+	drainPingTimeout = 500 * time.Millisecond
 	// sendQueueLength is the capacity of a connection's send queue, in frames.
 	sendQueueLength = 128
 )
@@ -92,11 +96,12 @@
 	mu      sync.RWMutex
 	calls   map[string]handler
 	notices map[string]func(peer string, body []byte)
+	awaited map[string]bool
 }
 
 // NewMux returns a Mux without handlers.
 func NewMux() *Mux {
-	return &Mux{calls: make(map[string]handler), notices: make(map[string]func(string, []byte))}
+	return &Mux{calls: make(map[string]handler), notices: make(map[string]func(string, []byte)), awaited: make(map[string]bool)}
 }
 
 // Error returns the code and the message.
@@ -121,6 +126,13 @@
 	}
 }
 
+// Await makes Drain wait for the responses of a method.
+func (mu *Mux) Await(method string) {
+	mu.mu.Lock()
+	defer mu.mu.Unlock()
+	mu.awaited[method] = true
+}
+
 // HandleNotice registers the handler for the notices of a method. The notices of one
 // connection are handled in order, so the handler must not block.
 func HandleNotice[Msg any](mux *Mux, method string, fn func(peer string, msg Msg)) {
@@ -175,6 +187,12 @@
 	return fn, ok
 }
 
+func (mu *Mux) isAwaited(method string) bool {
+	mu.mu.RLock()
+	defer mu.mu.RUnlock()
+	return mu.awaited[method]
+}
+
 func (mu *Mux) noticeHandler(method string) (func(string, []byte), bool) {
 	mu.mu.RLock()
 	defer mu.mu.RUnlock()
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,6 +114,22 @@
 	}
 }
 
+// Drain is like Server.Drain, for the calls of peers over the connections of the pool.
+func (po *Pool) Drain(ctx context.Context) {
+	po.mu.Lock()
+	peers := slices.Collect(maps.Values(po.peers))
+	po.mu.Unlock()
+	var conns []*conn
+	for _, pc := range peers {
+		pc.mu.Lock()
+		if pc.con != nil {
+			conns = append(conns, pc.con)
+		}
+		pc.mu.Unlock()
+	}
+	drainAll(ctx, conns)
+}
+
 // Forget closes and removes the connection to an address, for example when its member
 // has left.
 func (po *Pool) Forget(address string) {
--- a/core/link/server.go
+++ b/core/link/server.go
@@ -1,7 +1,10 @@
 package link
 
 import (
+	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/coder/websocket"
@@ -37,6 +40,15 @@
 	}
 }
 
+// Drain returns once the peers have received the responses to their calls of the methods
+// that Mux.Await names, or when the context ends. Handlers go on.
+func (se *Server) Drain(ctx context.Context) {
+	se.mu.Lock()
+	conns := slices.Collect(maps.Keys(se.conns))
+	se.mu.Unlock()
+	drainAll(ctx, conns)
+}
+
 // ServeHTTP accepts one connection and serves it until it ends.
 func (se *Server) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
 	if !se.tokens.Accepts(req) {
