fix(link): calls to a peer that has left get their responses

Cause: Pool.Forget closes a connection at once, whatever waits on it.

TestForgottenPeerAnswersPendingCalls failed before the change. Ruled out: the stopping daemon, which closes its links later.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -45,6 +45,8 @@
 
 	mu    sync.Mutex
 	ended bool
+	// retired is set once the connection is to be closed when no call is pending.
+	retired bool
 	// pendingCalls holds the calls to the peer, and cancelFuncs those from the peer
 	// that run.
 	pendingCalls map[uint64]*pendingCall
@@ -320,8 +322,23 @@
 
 func (co *conn) removePending(id uint64) {
 	co.mu.Lock()
-	defer co.mu.Unlock()
 	delete(co.pendingCalls, id)
+	isDone := co.retired && len(co.pendingCalls) == 0
+	co.mu.Unlock()
+	if isDone {
+		co.close()
+	}
+}
+
+// retire closes the connection once no call to the peer is pending.
+func (co *conn) retire() {
+	co.mu.Lock()
+	co.retired = true
+	isDone := len(co.pendingCalls) == 0
+	co.mu.Unlock()
+	if isDone {
+		co.close()
+	}
 }
 
 // deliverResponse passes a response to its call. Late and duplicate responses are
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -486,6 +486,33 @@
 	}
 }
 
+// TestForgottenPeerAnswersPendingCalls forgets a peer that has calls in flight, as when
+// it leaves or another process considers it dead. The calls must get their responses,
+// and the connection must end with the last one.
+func TestForgottenPeerAnswersPendingCalls(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t)
+	const calls = 8
+	errs := make(chan error, calls)
+	for number := range calls {
+		go func() {
+			_, err := fi.call(context.Background(), echo{Tag: fmt.Sprint(number), Sleep: 100 + 20*number})
+			errs <- err
+		}()
+	}
+	for fi.received.Load() < calls {
+		runtime.Gosched()
+	}
+	fi.pool.Forget(fi.address)
+	for range calls {
+		is.NoErr(<-errs)
+	}
+	is.Equal(len(fi.pool.Statuses()), 0)
+	_, err := fi.call(context.Background(), echo{}) // A new connection.
+	is.NoErr(err)
+	is.Equal(fi.cancelled.Load(), int64(0))
+}
+
 // TestClosedServerAcceptsNoConnections connects to a server that was closed. No
 // handler may run.
 func TestClosedServerAcceptsNoConnections(t *testing.T) {
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -130,15 +130,15 @@
 	drainAll(ctx, conns)
 }
 
-// Forget closes and removes the connection to an address, for example when its member
-// has left.
+// Forget removes the connection to an address, for example when its member has left,
+// and closes it once no call waits for a response: the peer may still send those.
 func (po *Pool) Forget(address string) {
 	po.mu.Lock()
 	pc := po.peers[address]
 	delete(po.peers, address)
 	po.mu.Unlock()
 	if pc != nil {
-		pc.close()
+		pc.retire()
 	}
 }
 
@@ -247,6 +247,16 @@
 	}
 }
 
+// retire is like close, but lets the pending calls end first.
+func (pc *peerConn) retire() {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.closed = true
+	if pc.con != nil {
+		pc.con.retire()
+	}
+}
+
 func (pc *peerConn) status(address string) Status {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
