test(keeper): changes go on after the disks of all keepers were full in turn

TestChangesGoOnAfterDisksWereFull fills ten disks in turn for 0.5 to 2.5 s, with a torn first write, while settings change each 20 ms.

Change: the test, an option for the disk of a keeper that it needs, and the files of a log that can't be opened are closed at once instead of by the garbage collector.

--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -38,8 +38,10 @@
 
 // Options configures a Server.
 type Options struct {
-	Config         process.Config
-	DataFolder     string
+	Config     process.Config
+	DataFolder string
+	// OpenDisk opens the data folder. The default is wal.OpenFolder.
+	OpenDisk       func(folder string) (wal.Disk, error)
 	FleetTokens    *auth.Tokens
 	Group          *Group
 	Log            *events.Logger
@@ -76,7 +78,11 @@
 
 // New opens the data folder. Start must be called to listen and serve.
 func New(ctx context.Context, opts Options) (*Server, error) {
-	disk, err := wal.OpenFolder(opts.DataFolder)
+	openDisk := opts.OpenDisk
+	if openDisk == nil {
+		openDisk = func(folder string) (wal.Disk, error) { return wal.OpenFolder(folder) }
+	}
+	disk, err := openDisk(opts.DataFolder)
 	if err != nil {
 		return nil, fmt.Errorf("keeper: %w", err)
 	}
--- a/cactuskeeper/server/server_test.go
+++ b/cactuskeeper/server/server_test.go
@@ -21,6 +21,7 @@
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/process"
 	"cactusstream.example/core/settings"
+	"cactusstream.example/core/wal"
 )
 
 const (
@@ -41,6 +42,8 @@
 	number int
 	seeds  []string
 	nodes  []*node
+	// disks holds the disk of each data folder, if the test fills them.
+	disks map[string]*fullDisk
 }
 
 // node is a running keeper.
@@ -82,7 +85,8 @@
 		Config:     process.Config{ID: fmt.Sprint("k", index), Zone: "z", PeerAddress: gr.address(2 * index), OperatorAddress: gr.address(2*index + 1)},
 		DataFolder: gr.folder(index), FleetTokens: auth.NewTokens("a-token-for-the-tests"), OperatorTokens: auth.NewTokens("a-token-for-the-tests"),
 		Log: events.Discard(), SigningKey: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
-		Group: &server.Group{IsFirstStart: first, PublicAddress: gr.address(2*index + 1), Seeds: func() []string { return gr.seeds }, Size: groupSize},
+		OpenDisk: gr.openDisk,
+		Group:    &server.Group{IsFirstStart: first, PublicAddress: gr.address(2*index + 1), Seeds: func() []string { return gr.seeds }, Size: groupSize},
 	})
 	if err != nil {
 		gr.t.Fatal(err)
@@ -93,6 +97,16 @@
 	gr.nodes[index] = &node{index: index, server: srv, cancel: cancel}
 }
 
+// openDisk opens a data folder, on a disk that may be full.
+func (gr *group) openDisk(path string) (wal.Disk, error) {
+	folder, err := wal.OpenFolder(path)
+	if err != nil || gr.disks == nil {
+		return folder, err
+	}
+	gr.disks[path] = &fullDisk{Folder: folder}
+	return gr.disks[path], nil
+}
+
 // kill cancels the context of a keeper before Stop, the most abrupt end that is
 // possible inside one process.
 func (gr *group) kill(index int) {
--- a/core/wal/wal.go
+++ b/core/wal/wal.go
@@ -189,7 +189,10 @@
 	}
 	lo.file = file
 	lo.watermark = watermark
-	return lo.writeWatermark()
+	if err := lo.writeWatermark(); err != nil {
+		return fmt.Errorf("wal: %w", errors.Join(err, lo.Close()))
+	}
+	return nil
 }
 
 // readLogs replays the newest log file, unless it is older than the snapshot, and
