fix(link): a connection that goes silent for good is replaced within a second

For four seconds a part of all requests fails, as linkLost or at their deadline, while new connections between the same VMs would work.

Cause: only the ping of each second, with a pong due within 2 s, gives a link up, and all calls go into it until then.

Evidence: TestSilentConnectionIsReplaced without the change: no call for over one second.

Change: a call that times out on a link from which no frame has arrived since starts a ping with 0.4 s. Without a pong the pool dials again for new calls, and the old connection stays for its pending ones.

TestSlowPeerKeepsPendingCalls checks that a slow peer loses no call.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -33,6 +33,14 @@
 
 	sendQueue chan *outgoing
 	closed    chan struct{}
+	started   time.Time
+	// lastFrameAt is when the last frame of the peer was read, as a duration since
+	// started.
+	lastFrameAt atomic.Int64
+	// checking is set while checkSilence runs, and silent once it has found that nothing
+	// arrives from the peer. A silent connection gets no new calls.
+	checking atomic.Bool
+	silent   atomic.Bool
 	// noticeSent is set when a notice was sent since the last ping.
 	noticeSent atomic.Bool
 	nextID     atomic.Uint64
@@ -75,6 +83,7 @@
 		mux:          mux,
 		sendQueue:    make(chan *outgoing, sendQueueLength),
 		closed:       make(chan struct{}),
+		started:      time.Now(),
 		callSlots:    make(chan struct{}, maxCallsInFlight),
 		pendingCalls: make(map[uint64]*pendingCall),
 		cancelFuncs:  make(map[uint64]context.CancelFunc),
@@ -112,6 +121,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrClosed)
 	}
 	defer co.removePending(id)
+	sentAt := time.Since(co.started)
 	out := &outgoing{frame: frame{Kind: kindCall, ID: id, Method: method, TimeoutMS: max(timeout.Milliseconds(), 1), Body: body}, state: &pending.state}
 	select {
 	case co.sendQueue <- out:
@@ -120,9 +130,37 @@
 	case <-co.closed:
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrClosed)
 	}
-	return co.awaitResponse(ctx, id, pending)
+	resp, err := co.awaitResponse(ctx, id, pending)
+	if errors.Is(err, context.DeadlineExceeded) && co.isQuietSince(sentAt) {
+		go co.checkSilence()
+	}
+	return resp, err
+}
+
+// isQuietSince reports whether no frame has been read since a call was sent, which is
+// long enough ago for a response.
+func (co *conn) isQuietSince(sentAt time.Duration) bool {
+	return time.Since(co.started)-sentAt >= quietTime && time.Duration(co.lastFrameAt.Load()) < sentAt
+}
+
+// checkSilence pings the peer. If there is no pong soon, the pool opens another
+// connection for new calls: a connection may go silent for good while new ones work. The
+// pending calls keep this one, since the peer may only be slow; keepAlive closes it.
+func (co *conn) checkSilence() {
+	if co.checking.Swap(true) {
+		return
+	}
+	defer co.checking.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
+	defer cancel()
+	if err := co.ws.Ping(ctx); err != nil {
+		co.silent.Store(true)
+	}
 }
 
+// isUsable reports whether the connection takes new calls.
+func (co *conn) isUsable() bool { return !co.isClosed() && !co.silent.Load() }
+
 // awaitResponse waits for the response. If it gives up before the writer has taken the
 // call, the call is abandoned, which proves that it was not sent. Otherwise the peer
 // is asked to cancel the call, which may already have run.
@@ -289,6 +327,8 @@
 		if err != nil {
 			return
 		}
+		co.lastFrameAt.Store(int64(time.Since(co.started)))
+		co.silent.Store(false)
 		co.handleFrame(ctx, fra)
 		if buf.Cap() > maxRetainedBuffer {
 			buf = bytes.Buffer{}
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -45,6 +45,10 @@
 	maxRetainedBuffer = 64 << 10
 	pingInterval      = 1 * time.Second
 	pingTimeout       = 2 * time.Second
+	// quietTime is how long a call waits at least before the lack of any frame is a
+	// reason to check the connection, and silenceTimeout how long that check takes.
+	quietTime      = 100 * time.Millisecond
+	silenceTimeout = 400 * time.Millisecond
 	// drainInterval is how often a drain checks for responses that are not written yet,
 	// and drainPingTimeout how long it waits for the peer to receive them.
 	drainInterval    = 2 * time.Millisecond
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -176,7 +176,7 @@
 	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	if pc.con != nil && !pc.con.isClosed() {
+	if pc.con != nil && pc.con.isUsable() {
 		return pc.con, nil
 	}
 	return nil, fmt.Errorf("dial %s: %w", address, errors.Join(pc.lastErr, ErrClosed))
@@ -189,7 +189,7 @@
 func (po *Pool) connOrDial(pc *peerConn, address string) (*conn, <-chan struct{}, error) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	if pc.con != nil && !pc.con.isClosed() {
+	if pc.con != nil && pc.con.isUsable() {
 		return pc.con, nil, nil
 	}
 	if time.Since(pc.lastFailure) < redialDelay {
@@ -211,9 +211,14 @@
 		con.close()
 		con, err = nil, ErrClosed
 	}
-	pc.con, pc.lastErr = con, err
+	pc.lastErr = err
 	if err != nil {
 		pc.lastFailure = time.Now()
+	} else {
+		if pc.con != nil {
+			pc.con.retire()
+		}
+		pc.con = con
 	}
 	close(pc.dialing)
 	pc.dialing = nil
