fix(gate): the estimate of a stall doesn't reject requests for good

After an upstream has stood still for some seconds, lookups that reach its daemon get 503 for as long as they come, while the upstream is idle.

Cause: a request is rejected if its deadline would pass before its expected end. What is expected is the median of past requests, whatever their age, and a rejected request adds none. After a stall it can be above the deadline of all callers, for ever.

Change: without a sample for 5 s the duration of a kind of request counts as unknown; later samples aren't mixed with those from before the gap. The median that is compared with siblings isn't changed.

--- a/cactusd/internal/gate/estimate.go
+++ b/cactusd/internal/gate/estimate.go
@@ -21,7 +21,7 @@
 	defer gu.mu.Unlock()
 	now := gu.opts.Clock.Now()
 	gu.adoptLimit(now, req.KnownLimit)
-	expected := gu.expectedTime(req.Kind)
+	expected := gu.expectedTime(now, req.Kind)
 	item := &rankqueue.Item{Rank: req.Rank, Target: targetTime(now, req.TargetRemaining), ExpectedDuration: expected}
 	ans := wire.WaitEstimate{Wait: gu.queue.EstimateWait(now, item), ExpectedDuration: expected, Load: gu.load(now)}
 	switch {
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -282,7 +282,7 @@
 		gu.mu.Unlock()
 		return rejection, true
 	}
-	item.ExpectedDuration = gu.expectedTime(req.Kind)
+	item.ExpectedDuration = gu.expectedTime(now, req.Kind)
 	dec := gu.queue.Add(now, item)
 	gu.scheduleStart(now)
 	gu.mu.Unlock()
@@ -390,8 +390,8 @@
 
 // expectedTime returns how long a request of a kind is expected to take at the
 // upstream. The caller holds the lock.
-func (gu *guard) expectedTime(kind string) time.Duration {
-	return time.Duration(expectedTimeFactor * float64(gu.latency(kind).Median()))
+func (gu *guard) expectedTime(now time.Time, kind string) time.Duration {
+	return time.Duration(expectedTimeFactor * float64(gu.latency(kind).Expected(now)))
 }
 
 // complete records the result of a request and frees its slot.
@@ -415,7 +415,7 @@
 	if !sent.rejected && !sent.cancelled {
 		gu.detector.ObserveEnd(now, req.Baseline, res)
 		if !res.Failed {
-			gu.latency(req.Kind).Add(took)
+			gu.latency(req.Kind).Add(now, took)
 		}
 	}
 	if req.Trial {
