fix(keeper): a restart during the first start of the system doesn't prevent the group

A keeper is killed 20 ms after all keepers have started for the first time, and restarts. The first config is never accepted and no request is ever served.

Cause: the group is founded only while the join requests of all keepers say that it is the first start of the system. A keeper that has restarted never says it again, and forbids the group for good.

Ruled out as a danger: a second group. Only the first of the seeds founds one, and its data folder shows that it has taken part in the first start and has no group.

Change: the data folder remembers the seeds of the first start, which decide who founds the group, also after a restart and after the seeds have changed. Join requests of keepers without a group count whether or not it is their first start. The table of TestOnlyOneKeeperBootstraps keeps its cases and has one more.

--- a/cactuskeeper/keeper/group.go
+++ b/cactuskeeper/keeper/group.go
@@ -27,9 +27,6 @@
 	// Size is the target number of voters. Until the first labelled change is
 	// accepted, changes are rejected while the group has fewer voters.
 	Size int
-	// IsFirstStart reports whether the whole deployment starts for the first
-	// time. Only then may a new group be bootstrapped.
-	IsFirstStart bool
 	// Seeds returns the configured peer addresses at which keepers may listen.
 	Seeds func() []string
 	// KnownKeepers returns the peer addresses of keepers in the fleet membership.
@@ -61,7 +58,7 @@
 	return reconfig.JoinRequest{
 		Member:       consensus.Member{ID: ke.ident.ID, PeerAddress: ke.opts.PeerAddress, OperatorAddress: ke.opts.OperatorAddress},
 		HasNoGroup:   len(ke.node.Config().Members) == 0,
-		IsFirstStart: ke.group.opts.IsFirstStart,
+		IsFirstStart: len(ke.ident.FirstSeeds) > 0,
 	}
 }
 
@@ -122,7 +119,7 @@
 // sent join requests.
 func (ke *Keeper) bootstrap(now time.Time) {
 	req := ke.joinRequest()
-	if !reconfig.ShouldBootstrap(req, ke.group.opts.Seeds(), ke.receivedJoinRequests(), ke.group.opts.Size) {
+	if !reconfig.ShouldBootstrap(req, ke.ident.FirstSeeds, ke.receivedJoinRequests(), ke.group.opts.Size) {
 		return
 	}
 	mem := req.Member
--- a/cactuskeeper/keeper/identity.go
+++ b/cactuskeeper/keeper/identity.go
@@ -22,6 +22,9 @@
 	ID      string           `codec:"id"`
 	Nonce   string           `codec:"nonce"`
 	Initial consensus.Config `codec:"initial"`
+	// FirstSeeds holds the seeds of the first start of the whole deployment. It is empty
+	// if the data folder was created later.
+	FirstSeeds []string `codec:"firstSeeds,omitempty"`
 }
 
 // ErrInitialised reports that a data folder is not empty.
@@ -48,11 +51,11 @@
 
 // EnsureIdentity creates an identity without an initial group unless the data
 // folder already has one. The ID consists of the name and a part of the nonce.
-func EnsureIdentity(disk wal.Disk, name string) error {
+func EnsureIdentity(disk wal.Disk, name string, firstSeeds []string) error {
 	if _, err := ReadIdentity(disk); !errors.Is(err, ErrNotInitialised) {
 		return err
 	}
-	ident := Identity{Nonce: auth.NewToken()}
+	ident := Identity{Nonce: auth.NewToken(), FirstSeeds: firstSeeds}
 	ident.ID = fmt.Sprintf("%s-%s", name, ident.Nonce[:nonceCharsInID])
 	return storeIdentity(disk, ident)
 }
--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -53,6 +53,8 @@
 // Group configures automatic discovery: the keeper finds the other keepers, and
 // daemons find the keeper. Without it, operators configure the group.
 type Group struct {
+	// IsFirstStart reports whether the whole deployment starts for the first time. Only
+	// then may a new group be bootstrapped. The data folder remembers it.
 	IsFirstStart bool
 	// PublicAddress is the address at which operators of the platform reach this
 	// keeper. Other keepers redirect operators to it.
@@ -99,12 +101,16 @@
 		PeerAddress: opts.Config.PeerAddress, OperatorAddress: opts.Config.OperatorAddress, Pool: se.pool, SigningKey: opts.SigningKey,
 	}
 	if opts.Group != nil {
-		if err := keeper.EnsureIdentity(disk, opts.Config.ID); err != nil {
+		var firstSeeds []string
+		if opts.Group.IsFirstStart {
+			firstSeeds = opts.Group.Seeds()
+		}
+		if err := keeper.EnsureIdentity(disk, opts.Config.ID, firstSeeds); err != nil {
 			return nil, err
 		}
 		keeperOpts.OperatorAddress = opts.Group.PublicAddress
 		keeperOpts.Group = keeper.GroupOptions{
-			Size: opts.Group.Size, IsFirstStart: opts.Group.IsFirstStart, Seeds: opts.Group.Seeds,
+			Size: opts.Group.Size, Seeds: opts.Group.Seeds,
 			KnownKeepers: func() []string { return se.fleet.View().KeeperAddresses() },
 		}
 	}
--- a/cactuskeeper/server/server_test.go
+++ b/cactuskeeper/server/server_test.go
@@ -67,6 +67,19 @@
 	return gr
 }
 
+// newCompleteGroup returns a group of groupSize running keepers that has accepted its
+// first change, with room for size keepers.
+func newCompleteGroup(t *testing.T, size int) *group {
+	t.Helper()
+	gr := newGroup(t, size)
+	for index := range groupSize {
+		gr.start(index, true)
+	}
+	gr.until("complete group", func() bool { return gr.voters() == groupSize })
+	gr.change(1, 0)
+	return gr
+}
+
 // address returns a loopback address that is unique to the group and the process.
 // Outgoing connections use 127.0.0.1 as their source, so they can't occupy the
 // port before a keeper listens on it.
@@ -306,6 +319,46 @@
 	is.Equal(gr.newest(), uint64(5))
 }
 
+// TestKeeperThatRestartsDuringTheFirstStart kills keepers while the whole system starts
+// for the first time, and starts them again as the platform does: it isn't their first
+// start then. The group must form all the same.
+func TestKeeperThatRestartsDuringTheFirstStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		killed []int
+		wiped  bool
+	}{
+		{"the first seed", []int{0}, false},
+		{"another seed", []int{1}, false},
+		{"no seed", []int{4}, false},
+		{"all", []int{0, 1, 2, 3, 4}, false},
+		{"two without their disks", []int{2, 3}, true},
+	}
+	for _, tc := range cases {
+		for _, after := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(fmt.Sprint(tc.name, " after ", after), func(t *testing.T) {
+				is := is.New(t)
+				gr := newGroup(t, groupSize)
+				for index := range groupSize {
+					gr.start(index, true)
+				}
+				time.Sleep(after)
+				for _, index := range tc.killed {
+					gr.kill(index)
+					if tc.wiped {
+						is.NoErr(os.RemoveAll(gr.folder(index)))
+					}
+				}
+				for _, index := range tc.killed {
+					gr.start(index, false)
+				}
+				gr.until("complete group", func() bool { return gr.voters() == groupSize })
+				gr.change(1, 0)
+			})
+		}
+	}
+}
+
 // TestNoGroupForms checks that no group is bootstrapped with fewer keepers than
 // the group size, or when this is not the first start of the deployment.
 func TestNoGroupForms(t *testing.T) {
@@ -352,12 +405,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			gr := newGroup(t, groupSize+tc.successors)
-			for index := range groupSize {
-				gr.start(index, true)
-			}
-			gr.until("complete group", func() bool { return gr.voters() == groupSize })
-			gr.change(1, 0)
+			gr := newCompleteGroup(t, groupSize+tc.successors)
 			for index := range tc.successors {
 				gr.start(groupSize+index, false)
 			}
@@ -401,12 +449,7 @@
 // that still send messages to its address.
 func TestKeeperWithNewDiskJoinsWithoutSeeds(t *testing.T) {
 	is := is.New(t)
-	gr := newGroup(t, groupSize+1)
-	for index := range groupSize {
-		gr.start(index, true)
-	}
-	gr.until("complete group", func() bool { return gr.voters() == groupSize })
-	gr.change(1, 0)
+	gr := newCompleteGroup(t, groupSize+1)
 	gr.start(groupSize, false)
 	gr.until("successor that votes", func() bool { return gr.voters() == groupSize+1 })
 	gr.stop(0)
@@ -428,12 +471,7 @@
 // again. Without a successor they must stay voters.
 func TestRestartDoesNotShrinkTheGroup(t *testing.T) {
 	is := is.New(t)
-	gr := newGroup(t, groupSize)
-	for index := range groupSize {
-		gr.start(index, true)
-	}
-	gr.until("complete group", func() bool { return gr.voters() == groupSize })
-	gr.change(1, 0)
+	gr := newCompleteGroup(t, groupSize)
 	for index := range groupSize {
 		id := gr.nodes[index].server.Keeper().ID()
 		gr.stop(index)
--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -2,9 +2,10 @@
 // group, one membership change at a time and without an operator. Keepers are the
 // servers that replicate the settings by consensus.
 //
-// A group is bootstrapped once: on the first start of the whole system, by the
-// keeper whose address sorts first among the seeds, when enough others without state
-// have sent join requests. Every other keeper, whenever it starts and whatever its
+// A group is bootstrapped once: by the keeper whose address sorted first among the
+// seeds on the first start of the whole system, when enough others without state have
+// sent join requests. Its disk shows that it took part in that start and never had a
+// group, so that there is no other one; the others may have restarted meanwhile. Every other keeper, whenever it starts and whatever its
 // disk holds, requests to join, is added as a learner, and becomes a voter once it
 // has caught up. The ID of a keeper is generated with its data folder, so a keeper
 // that lost its disk joins as a new member and can't vote in place of the old one,
@@ -44,8 +45,8 @@
 // leader.
 type JoinRequest struct {
 	Member consensus.Member `codec:"member"`
-	// HasNoGroup reports that the keeper knows of no group, and IsFirstStart that it
-	// was started as part of the first start of the whole system.
+	// HasNoGroup reports that the keeper knows of no group, and IsFirstStart that its
+	// disk dates from the first start of the whole system.
 	HasNoGroup   bool `codec:"blank"`
 	IsFirstStart bool `codec:"first"`
 }
@@ -108,19 +109,18 @@
 	Reason string
 }
 
-// ShouldBootstrap reports whether a keeper bootstraps the group: it has no state on
-// the first start of the system, its address sorts first among the seeds, and join
-// requests of other keepers without state bring the group to its full size, so that
-// it can tolerate the planned number of failures. It returns false if any request is
-// from a keeper that knows a group or is not on its first start, so that no second
-// group forms.
+// ShouldBootstrap reports whether a keeper bootstraps the group: its disk dates from
+// the first start of the system and has no group, its address sorted first among the
+// seeds of that start, and join requests of other keepers without state bring the group
+// to its full size, so that it can tolerate the planned number of failures. It returns
+// false if any request is from a keeper that knows a group.
 func ShouldBootstrap(self JoinRequest, seeds []string, requests []ReceivedJoinRequest, size int) bool {
 	if !self.HasNoGroup || !self.IsFirstStart || len(seeds) == 0 || slices.Min(seeds) != self.Member.PeerAddress {
 		return false
 	}
 	others := 0
 	for _, req := range requests {
-		if !req.HasNoGroup || !req.IsFirstStart {
+		if !req.HasNoGroup {
 			return false
 		}
 		if req.Member.ID != self.Member.ID {
--- a/core/reconfig/reconfig_test.go
+++ b/core/reconfig/reconfig_test.go
@@ -20,6 +20,12 @@
 	return reconfig.ReceivedJoinRequest{JoinRequest: reconfig.JoinRequest{Member: member(id, address, false), HasNoGroup: hasNoState, IsFirstStart: hasNoState}, ReceivedAt: now}
 }
 
+// restarted returns the join request of a keeper that joins with an empty disk, but not on
+// the first start of the system.
+func restarted(id string) reconfig.ReceivedJoinRequest {
+	return reconfig.ReceivedJoinRequest{JoinRequest: reconfig.JoinRequest{Member: member(id, id, false), HasNoGroup: true}, ReceivedAt: now}
+}
+
 func TestOnlyOneKeeperBootstraps(t *testing.T) {
 	seeds := []string{"10.0.0.2:1", "10.0.0.1:1", "10.0.0.3:1"}
 	all := []reconfig.ReceivedJoinRequest{joinRequest("a", "10.0.0.1:1", true), joinRequest("b", "10.0.0.2:1", true), joinRequest("c", "10.0.0.3:1", true), joinRequest("d", "10.0.0.4:1", true), joinRequest("e", "10.0.0.5:1", true)}
@@ -30,6 +36,7 @@
 		want     bool
 	}{
 		{"first seed with enough join requests", all[0].JoinRequest, all[1:], true},
+		{"others have restarted", all[0].JoinRequest, []reconfig.ReceivedJoinRequest{restarted("b"), all[2], restarted("d"), all[4]}, true},
 		{"first seed with too few join requests", all[0].JoinRequest, all[1:4], false},
 		{"not the first seed", all[1].JoinRequest, all, false},
 		{"not a seed", all[4].JoinRequest, all, false},
