fix(link): a drain waits for a busy peer as long as the stop may take

Cause, by reading: the drain waited 0.5 s for the pong that shows that the peer has read the answers. A busy peer may need longer for 16 MB, and the link was closed with answers unread.

Change: the pong is waited for until the shutdown has to end. A silent peer is detected by the keep-alive, which closes the connection.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -219,7 +219,8 @@
 
 // drain returns once the peer has received the responses to all its awaited calls. A pong
 // of the peer follows every call that it sent before, and is sent only after it has read
-// all frames before the ping.
+// all frames before the ping, which takes long if they are large and the peer is busy.
+// keepAlive closes the connection to a peer that is silent.
 func (co *conn) drain(ctx context.Context) {
 	for ctx.Err() == nil && !co.isClosed() {
 		calls := co.awaitedCalls.Load()
@@ -230,9 +231,7 @@
 			time.Sleep(drainInterval)
 			continue
 		}
-		pingCtx, cancel := context.WithTimeout(ctx, drainPingTimeout)
-		err := co.ws.Ping(pingCtx)
-		cancel()
+		err := co.ws.Ping(ctx)
 		if err != nil || co.owedResponses.Load() == 0 && co.awaitedCalls.Load() == calls {
 			return
 		}
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -49,10 +49,8 @@
 	// reason to check the connection, and silenceTimeout how long that check takes.
 	quietTime      = 100 * time.Millisecond
 	silenceTimeout = 400 * time.Millisecond
-	// drainInterval is how often a drain checks for responses that are not written yet,
-	// and drainPingTimeout how long it waits for the peer to receive them.
-	drainInterval    = 2 * time.Millisecond
-	drainPingTimeout = 500 * time.Millisecond
+	// drainInterval is how often a drain checks for responses that are not written yet.
+	drainInterval = 2 * time.Millisecond
 	// sendQueueLength is the capacity of a connection's send queue, in frames.
 	sendQueueLength = 128
 )
