fix(process): a signal during the start stops a process like a later one

Operators would see a failed exit, and the soak leaves the process down.

Cause: the programs registered for the signals only once they were listening.

Ruled out: a second signal, there is one.

Change: the run commands register for the signals first.

--- a/cactusd/internal/cmd/run.go
+++ b/cactusd/internal/cmd/run.go
@@ -25,6 +25,7 @@
 		Example: "  cactusd run --config d1.ini",
 		Args:    cobra.NoArgs,
 		RunE: func(com *cobra.Command, _ []string) error {
+			process.CatchStop()
 			cfg, err := loadConfig(path)
 			if err != nil {
 				return err
--- a/cactuskeeper/internal/cmd/run.go
+++ b/cactuskeeper/internal/cmd/run.go
@@ -22,6 +22,7 @@
 		Example: "  cactuskeeper run --config keeper1.ini",
 		Args:    cobra.NoArgs,
 		RunE: func(com *cobra.Command, _ []string) error {
+			process.CatchStop()
 			cfg, err := loadConfig(path)
 			if err != nil {
 				return err
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -240,12 +241,20 @@
 	return nil
 }
 
+// CatchStop keeps SIGTERM and SIGINT from ending the process, and returns the channel
+// that receives them. A program calls it before anything else, so that a signal during
+// its start stops it like a later one.
+var CatchStop = sync.OnceValue(func() <-chan os.Signal {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+})
+
 // WaitForStop blocks until SIGTERM, SIGINT or the end of the context. If it returned
 // because of a signal, a second signal calls onForcedExit and then ends the process
 // immediately with ExitForced.
 func WaitForStop(ctx context.Context, onForcedExit func()) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := CatchStop()
 	select {
 	case <-signals:
 	case <-ctx.Done():
--- a/standin/internal/e2e/e2e_test.go
+++ b/standin/internal/e2e/e2e_test.go
@@ -76,6 +76,24 @@
 	fl.checkRuns(reports...)
 }
 
+// TestStopDuringTheStart sends SIGTERM at several moments of the start of a keeper and of a
+// daemon. From its first line of log on, each must stop as at any other time.
+func TestStopDuringTheStart(t *testing.T) {
+	fl := newQuillotaFleet(t, 1, 5*time.Millisecond)
+	for _, name := range []string{"k1", "d1"} {
+		fl.stop(name)
+		for delay := range 25 {
+			fl.restart(name)
+			time.Sleep(time.Duration(2*delay) * time.Millisecond)
+			fl.stop(name)
+		}
+		fl.restart(name)
+	}
+	fl.eventually(recoveryTimeout, "requests succeed", func() bool {
+		return fl.call(caller.Config{Path: "/catalogo/stock", Count: 9}).Good == 9
+	})
+}
+
 // TestCrashesRunNoRequestTwice kills and pauses daemons while callers retry each
 // key through other daemons. No key may be executed twice, and none whose last
 // response has outcome notRun may be executed at all.
