fix(keeper): the bootstrap doesn't write the identity that other goroutines read

Cause: the bootstrap replaced the whole identity. The value of the ID is the same, so nothing was wrong but the race.

Change: only the initial membership is written.

--- a/cactuskeeper/keeper/group.go
+++ b/cactuskeeper/keeper/group.go
@@ -130,7 +130,7 @@
 		ke.fail(err)
 		return
 	}
-	ke.ident = ident
+	ke.ident.Initial = ident.Initial // Other goroutines read the ID.
 	ke.node.Bootstrap(now, ident.Initial)
 	ke.opts.Log.Write(events.KeeperMembers, memberFields(ident.Initial))
 }
