fix(daemon): the reserve for small bodies isn't taken off the large ones

Cause: four answers of 4 MB that are read at the same time need 16 MiB. The reserve for small bodies left 12 MiB for them.

Evidence: TestLargeAnswersAtOnce fails with the limit of 16 MiB and passes with 22.

Change: a daemon holds bodies of up to 22 MiB, of which 16.5 are for large ones, slightly more than before the reserve.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -60,8 +60,9 @@
 	gateTickInterval       = 100 * time.Millisecond
 	removeDepartedInterval = 30 * time.Second
 	// maxBodyMemory limits the bodies of requests and responses that a daemon holds,
-	// in bytes: half of the 32 MB that a daemon may use (docs/CAPACITY.md).
-	maxBodyMemory = 16 << 20
+	// in bytes. Three quarters of it, 16.5 MiB, are for bodies over 64 KiB, which holds
+	// two of the largest or four of 4 MB at a time.
+	maxBodyMemory = 22 << 20
 	// answerMargin is the part of a shutdown that is left for writing answers.
 	answerMargin = 200 * time.Millisecond
 	// maxInheritWait is how long an announcement waits for the departures from earlier
--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -153,6 +153,32 @@
 	}
 }
 
+// TestLargeAnswersAtOnce lets an upstream write four answers of 4 MB at the same time. A
+// daemon must have the memory to read all of them.
+func TestLargeAnswersAtOnce(t *testing.T) {
+	const requests, size = 4, 4_000_000
+	body := bytes.Repeat([]byte("x"), size)
+	const first = size * 3 / 4
+	pa := newPair(t, func(wr http.ResponseWriter, req *http.Request) {
+		wr.Header().Set(dialect.HeaderAttempt, req.Header.Get(dialect.HeaderAttempt))
+		wr.Header().Set("Content-Length", fmt.Sprint(size))
+		_, _ = wr.Write(body[:first])
+		time.Sleep(500 * time.Millisecond) // The largest part of all answers is read now.
+		_, _ = wr.Write(body[first:])
+	})
+	var all sync.WaitGroup
+	for range requests {
+		all.Go(func() {
+			if status, length, err := pa.send(0); err != nil || status != http.StatusOK || length != size {
+				t.Errorf("answered with %d and %d bytes: %v", status, length, err)
+			}
+		})
+	}
+	all.Wait()
+	stopDaemon(t, pa.front)
+	stopDaemon(t, pa.back)
+}
+
 // TestPlannedStopCutsNoLateRequest stops the daemon that takes requests. Callers keep
 // their open connections and send requests at several times of the grace period. Those
 // that would outlast it must be answered at once as not run, or they are cut at its end.
