--- a/cactuskeeper/server/server_test.go
+++ b/cactuskeeper/server/server_test.go
@@ -445,7 +445,7 @@
 }
 
 // TestKeeperWithNewDiskJoinsWithoutSeeds replaces one of the three seeds and wipes the
-// other two, so that a keeper with a new disk hears of the group only from the keepers
+// other two, so that a keeper with a new disk learns of the group only from the keepers
 // that still send messages to its address.
 func TestKeeperWithNewDiskJoinsWithoutSeeds(t *testing.T) {
 	is := is.New(t)
