fix(gate): inherited departures don't displace newer ones

What callers saw: nothing yet; found by reading the change.

Cause: the daemon inherits again with each tick, and the inherited departures were merged as the newest, so that they pushed the daemon's own out of the 16.

Evidence: TestInheritedDeparturesDisplaceNoNewerOnes fails without the change. TestDepartedUpstreamStaysAway has one upstream and few departures, so that its list never fills.

Change: what is inherited is merged as older than what the daemon has seen itself.

After: the tests of departures in the gate and the daemon pass.

--- a/cactusd/internal/gate/departures.go
+++ b/cactusd/internal/gate/departures.go
@@ -22,13 +22,17 @@
 	if startedAt.IsZero() {
 		return
 	}
-	de.merge([]member.Departure{{ID: id, StartedMS: startedAt.UnixMilli()}})
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	de.list = member.MergeDepartures(de.list, []member.Departure{{ID: id, StartedMS: startedAt.UnixMilli()}})
 }
 
-func (de *departures) merge(list []member.Departure) {
+// inherit adds departures from earlier starts of the daemon. They are older than all that
+// it has seen itself.
+func (de *departures) inherit(list []member.Departure) {
 	de.mu.Lock()
 	defer de.mu.Unlock()
-	de.list = member.MergeDepartures(de.list, list)
+	de.list = member.MergeDepartures(list, de.list)
 }
 
 func (de *departures) has(id string, startedAt time.Time) bool {
--- a/cactusd/internal/gate/departures_test.go
+++ b/cactusd/internal/gate/departures_test.go
@@ -177,3 +177,27 @@
 	is.Equal(len(ga.Departed()), member.MaxDepartures)
 	is.Equal(ga.Departed()[member.MaxDepartures-1].ID, "u999")
 }
+
+// TestInheritedDeparturesDisplaceNoNewerOnes inherits a full list of departures, as a daemon
+// does again and again, before and after an upstream leaves. The newer departure must be
+// kept, and the list must not change when nothing new is inherited.
+func TestInheritedDeparturesDisplaceNoNewerOnes(t *testing.T) {
+	is := is.New(t)
+	clo := clock.NewFake(time.Unix(5000, 0))
+	ga := newGate(clo)
+	var inherited []member.Departure
+	for number := range member.MaxDepartures {
+		inherited = append(inherited, member.Departure{ID: fmt.Sprint("old", number), StartedMS: 1})
+	}
+	ga.Inherit(inherited)
+	ann := gate.Announcement{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1, Connections: 9, StartedAt: clo.Now()}
+	is.NoErr(ga.Announce(ann))
+	_, err := ga.LeaveInstance("u", ann.StartedAt)
+	is.NoErr(err)
+	before := ga.Departed()
+	ga.Inherit(inherited)
+	is.Equal(ga.Departed(), before)
+	clo.Advance(time.Minute)
+	ga.Tick()
+	is.Equal(ga.Announce(ann), gate.ErrDeparted)
+}
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -177,7 +177,7 @@
 	if len(list) == 0 {
 		return
 	}
-	ga.departed.merge(list)
+	ga.departed.inherit(list)
 	for _, gu := range ga.sortedGuards() {
 		if ga.departed.has(gu.ann.ID, gu.ann.StartedAt) && !gu.isLeaving() {
 			gu.leave("left before the daemon started")
