--- a/cactusd/daemon/departures_test.go
+++ b/cactusd/daemon/departures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,16 +17,27 @@
 	"cactusstream.example/core/process"
 )
 
-func startDaemon(t *testing.T, id, peerAddress string, seeds ...string) *daemon.Daemon {
+// testToken is the token of all processes in these tests.
+const testToken = "a-token-for-the-tests"
+
+// startDaemon starts a daemon with one seed, or with none if seed is empty. The edits
+// change its options before.
+func startDaemon(t *testing.T, id, peerAddress, seed string, edits ...func(*daemon.Options)) *daemon.Daemon {
 	t.Helper()
-	tokens := auth.NewTokens("a-token-for-the-tests")
-	da, err := daemon.New(daemon.Options{
+	tokens := auth.NewTokens(testToken)
+	opts := daemon.Options{
 		Config:        process.Config{ID: id, Zone: "z", PeerAddress: peerAddress, OperatorAddress: freeAddress(t)},
 		CallerAddress: freeAddress(t), Callers: dialect.DefaultCaller(), Upstreams: dialect.DefaultUpstream(), Clock: clock.Real{},
-		Firm: "*", Place: "*", Log: events.Discard(), Seeds: func() []string { return seeds },
+		Firm: "*", Place: "*", Log: events.Discard(), Seeds: func() []string {
+			return slices.DeleteFunc([]string{seed}, func(address string) bool { return address == "" })
+		},
 		FleetTokens: tokens, OperatorTokens: tokens, ServiceTokens: tokens, UpstreamTokens: tokens,
 		SettingsKeys: func() []ed25519.PublicKey { return nil },
-	})
+	}
+	for _, edit := range edits {
+		edit(&opts)
+	}
+	da, err := daemon.New(opts)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +62,7 @@
 func TestRestartedDaemonIgnoresUpstreamThatLeft(t *testing.T) {
 	is := is.New(t)
 	seed, address := freeAddress(t), freeAddress(t)
-	other := startDaemon(t, "d1", seed)
+	other := startDaemon(t, "d1", seed, "")
 	defer stopDaemon(t, other)
 	startedAt := time.UnixMilli(1_700_000_000_000)
 	ann := daemon.Announcement{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1, Connections: 9, StartedAt: startedAt, Sequence: 4}
--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -20,17 +20,12 @@
 
 	"cactusstream.example/cactusd/daemon"
 	"cactusstream.example/core/auth"
-	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
-	"cactusstream.example/core/events"
 	"cactusstream.example/core/link"
-	"cactusstream.example/core/process"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/settingsync"
 )
 
-const stopTestToken = "a-token-for-the-tests"
-
 // serveSettings serves a settings tree as a keeper does, and returns the address and the
 // key that the settings are signed with.
 func serveSettings(t *testing.T, tree *settings.Tree) (address string, key ed25519.PublicKey) {
@@ -43,7 +38,7 @@
 	}
 	mux := link.NewMux()
 	settingsync.Serve(mux, replica, nil)
-	srv := httptest.NewServer(link.NewServer(mux, auth.NewTokens(stopTestToken), func(*http.Request) {}))
+	srv := httptest.NewServer(link.NewServer(mux, auth.NewTokens(testToken), func(*http.Request) {}))
 	t.Cleanup(srv.CloseClientConnections)
 	return strings.TrimPrefix(srv.URL, "http://"), key
 }
@@ -66,23 +61,12 @@
 		{Path: "*/*", Key: "slowStart", Value: "0s"},
 	})
 	keeper, key := serveSettings(t, tree)
-	tokens := auth.NewTokens(stopTestToken)
 	frontPeer, callers := freeAddress(t), freeAddress(t)
 	start := func(id, peer, callers string) *daemon.Daemon {
-		da, err := daemon.New(daemon.Options{
-			Config:        process.Config{ID: id, Zone: "z", PeerAddress: peer, OperatorAddress: freeAddress(t)},
-			CallerAddress: callers, Callers: dialect.Caller{Deadline: "X-Left", StrictRejections: true}, Upstreams: dialect.DefaultUpstream(), Clock: clock.Real{},
-			Firm: "*", Place: "*", Log: events.Discard(), Seeds: func() []string { return []string{frontPeer} }, Keepers: []string{keeper},
-			FleetTokens: tokens, OperatorTokens: tokens, ServiceTokens: tokens, UpstreamTokens: tokens,
-			SettingsKeys: func() []ed25519.PublicKey { return []ed25519.PublicKey{key} },
+		return startDaemon(t, id, peer, frontPeer, func(opts *daemon.Options) {
+			opts.CallerAddress, opts.Callers = callers, dialect.Caller{Deadline: "X-Left", StrictRejections: true}
+			opts.Keepers, opts.SettingsKeys = []string{keeper}, func() []ed25519.PublicKey { return []ed25519.PublicKey{key} }
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := da.Start(context.Background()); err != nil {
-			t.Fatal(err)
-		}
-		return da
 	}
 	pa := &pair{callers: callers, front: start("d1", frontPeer, callers), back: start("d2", freeAddress(t), freeAddress(t))}
 	srv := httptest.NewServer(upstream)
--- a/cactusd/internal/gate/departures.go
+++ b/cactusd/internal/gate/departures.go
@@ -5,7 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"cactusstream.example/core/events"
 	"cactusstream.example/core/member"
+	"cactusstream.example/core/rankqueue"
 )
 
 // departures remembers which starts of upstreams have left for good, for longer than an
@@ -45,3 +49,23 @@
 	defer de.mu.Unlock()
 	return de.list
 }
+
+// leave stops admission and rejects queued requests. It returns the number of
+// requests in flight.
+func (gu *guard) leave(reason string) int {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	if !gu.leaving {
+		gu.leaving = true
+		gu.leftAt = gu.opts.Clock.Now()
+		gu.queue.RejectAll(rankqueue.RejectFull)
+		gu.opts.Log.Write(events.UpstreamLeft, logrus.Fields{"upstream": gu.ann.ID, "reason": reason})
+	}
+	return gu.queue.Running()
+}
+
+// depart is like leave, for an upstream that never comes back with the same start.
+func (gu *guard) depart(reason string) int {
+	gu.departed.add(gu.ann.ID, gu.ann.StartedAt)
+	return gu.leave(reason)
+}
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -133,26 +133,6 @@
 	return gu.queue.Running() == 0 && gu.opts.Clock.Now().Sub(gu.leftAt) > leftRetention
 }
 
-// leave stops admission and rejects queued requests. It returns the number of
-// requests in flight.
-func (gu *guard) leave(reason string) int {
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-	if !gu.leaving {
-		gu.leaving = true
-		gu.leftAt = gu.opts.Clock.Now()
-		gu.queue.RejectAll(rankqueue.RejectFull)
-		gu.opts.Log.Write(events.UpstreamLeft, logrus.Fields{"upstream": gu.ann.ID, "reason": reason})
-	}
-	return gu.queue.Running()
-}
-
-// depart is like leave, for an upstream that never comes back with the same start.
-func (gu *guard) depart(reason string) int {
-	gu.departed.add(gu.ann.ID, gu.ann.StartedAt)
-	return gu.leave(reason)
-}
-
 // tick applies the current settings and every state change that depends on
 // time: an expired lease, the end of the warm-up, and timeouts of the health
 // detector. It reports whether the announced record changed.
--- a/core/health/latency.go
+++ b/core/health/latency.go
@@ -36,7 +36,10 @@
 	la.count++
 	la.recentCount++
 	la.median = la.medianOfLast(la.count)
-	la.recentMedian = la.medianOfLast(la.recentCount)
+	la.recentMedian = la.median
+	if la.recentCount < min(la.count, latencySamples) {
+		la.recentMedian = la.medianOfLast(la.recentCount)
+	}
 }
 
 // Median returns the median, or zero before the first sample.
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -401,7 +401,7 @@
 
 // serveCall runs the handler of a call in its own goroutine and sends the response.
 func (co *conn) serveCall(ctx context.Context, fra frame) {
-	fn, known := co.mux.callHandler(fra.Method)
+	fn, isOwed, known := co.mux.callHandler(fra.Method)
 	if !known {
 		co.sendResponse(fra.ID, nil, &RemoteError{Code: "noMethod", Message: fra.Method}, false)
 		return
@@ -412,7 +412,6 @@
 		co.sendResponse(fra.ID, nil, &RemoteError{Code: "overloaded", Message: "too many calls in flight on the link"}, false)
 		return
 	}
-	isOwed := co.mux.isAwaited(fra.Method)
 	if isOwed {
 		co.owedResponses.Add(1)
 		co.awaitedCalls.Add(1)
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -182,17 +182,11 @@
 	return con.notify(method, body)
 }
 
-func (mu *Mux) callHandler(method string) (handler, bool) {
+func (mu *Mux) callHandler(method string) (fn handler, isAwaited, known bool) {
 	mu.mu.RLock()
 	defer mu.mu.RUnlock()
-	fn, ok := mu.calls[method]
-	return fn, ok
-}
-
-func (mu *Mux) isAwaited(method string) bool {
-	mu.mu.RLock()
-	defer mu.mu.RUnlock()
-	return mu.awaited[method]
+	fn, known = mu.calls[method]
+	return fn, mu.awaited[method], known
 }
 
 func (mu *Mux) noticeHandler(method string) (func(string, []byte), bool) {
--- a/core/reconfig/model_test.go
+++ b/core/reconfig/model_test.go
@@ -293,7 +293,7 @@
 
 // TestGroupToleratesLossesOnceWhole replaces, restarts and wipes random keepers, one
 // after the other and at most as many at a time as the group tolerates. Once no machine
-// counts as lost, the group must tolerate the planned losses again, whoever leads and
+// counts as lost, the group must tolerate the planned losses again, whichever keeper leads and
 // however many keepers were replaced.
 func TestGroupToleratesLossesOnceWhole(t *testing.T) {
 	for _, size := range []int{3, 5, 7} {
