feat: organisations with keys, checked at the ingress

Cause: requests of organisations carry keys, and nothing checked them; they reached the upstreams.

Change: the node of a firm describes an organisation (keys, keyDigests, organisationRank, quotaRate, quotaBurst, title). Each version of the settings has an index from the digest of a key to its organisation; a version that edits no firm reuses it. The ingress checks the key before the body is read, sets the organisation's title, and asks ingress.Quota, if there is one. Secret keys are in no tree or change that leaves a keeper, and digests don't cover them. New keys needn't be set in the root, so stored trees stay valid and their digests stay as they are.

Without an organisation that has keys, nothing changes: no header is read or removed.

--- a/cactusd/internal/ingress/answer.go
+++ b/cactusd/internal/ingress/answer.go
@@ -18,7 +18,7 @@
 // write sends the answer to the caller.
 func (in *Ingress) write(wr http.ResponseWriter, req *request, answer wire.RunAnswer) {
 	in.recordOutcome(req, answer)
-	if !isSuccess(answer) {
+	if !isSuccess(answer) && !req.callerAtFault {
 		in.lastFailureAt.Store(in.opts.Clock.Now().UnixNano())
 	}
 	header := wr.Header()
@@ -66,6 +66,9 @@
 		"request": req.id, "service": req.path.Service, "kind": req.path.Kind, "outcome": answer.Outcome, "attempts": req.attempts,
 		"endpoints": req.triedEndpoints, "heldMillis": in.opts.Clock.Now().Sub(req.receivedAt).Milliseconds(), "settings": in.opts.Replica.Current().Version,
 	}
+	if req.organisation != nil {
+		fields["organisation"] = req.organisation.Name
+	}
 	if answer.Outcome == outcome.Ran {
 		fields["status"] = answer.Status
 		in.opts.Log.Write(events.RequestEnded, fields)
@@ -80,7 +83,7 @@
 // upstream.
 func (in *Ingress) status(answer wire.RunAnswer) int {
 	status := answer.Reason.Status()
-	if !in.opts.Dialect.StrictRejections {
+	if !in.opts.Dialect.StrictRejections || answer.Reason == outcome.OverQuota {
 		return status
 	}
 	isRejection := status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
@@ -122,7 +125,7 @@
 // isTransient reports whether the cause of a rejection may be gone soon.
 func isTransient(reason outcome.Reason) bool {
 	switch reason {
-	case outcome.NoSettings, outcome.NoUpstream, outcome.Stopping, outcome.Overloaded, outcome.UpstreamRejected, outcome.ClaimFailed, outcome.Running, outcome.KeyClosed:
+	case outcome.NoSettings, outcome.NoUpstream, outcome.Stopping, outcome.Overloaded, outcome.UpstreamRejected, outcome.OverQuota, outcome.QuotaUnavailable, outcome.ClaimFailed, outcome.Running, outcome.KeyClosed:
 		return true
 	}
 	return false
--- a/cactusd/internal/ingress/estimate.go
+++ b/cactusd/internal/ingress/estimate.go
@@ -121,7 +121,7 @@
 	answers := make(chan estimate, len(sample))
 	for _, index := range sample {
 		go func() {
-			estimateReq := wire.WaitEstimateRequest{Upstream: endpoints[index].Upstream.ID, Kind: req.path.Kind, Rank: req.policy.Rank, Idempotent: req.policy.Idempotent, TargetRemaining: req.remainingTarget(in.opts.Clock.Now()), Retry: req.isRetry(), AfterTrial: req.afterTrial, KnownLimit: in.tracker.limit(endpoints[index].Key)}
+			estimateReq := wire.WaitEstimateRequest{Upstream: endpoints[index].Upstream.ID, Kind: req.path.Kind, Rank: req.policy.Rank, OrganisationRank: req.organisationRank(), Idempotent: req.policy.Idempotent, TargetRemaining: req.remainingTarget(in.opts.Clock.Now()), Retry: req.isRetry(), AfterTrial: req.afterTrial, KnownLimit: in.tracker.limit(endpoints[index].Key)}
 			answer, err := in.opts.Runner.EstimateWait(ctx, endpoints[index], estimateReq)
 			in.recordEstimate(endpoints[index], answer, err)
 			answers <- estimate{index: index, answer: answer, err: err}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -71,6 +71,8 @@
 	Place    string
 	Runner   Runner
 	Services *auth.Tokens
+	// Quota admits requests of organisations. It is nil if there is none.
+	Quota Quota
 	// SettingsConfirmed reports whether a keeper has confirmed lately that the settings
 	// are the newest. It is nil if that is always the case.
 	SettingsConfirmed func() bool
@@ -99,8 +101,9 @@
 }
 
 type throttleKey struct {
-	service string
-	rank    int
+	service          string
+	organisationRank int
+	rank             int
 }
 
 // request is the state of one caller's request.
@@ -116,6 +119,13 @@
 	// hasCallerKey means that the caller supplied the idempotency key, and so may
 	// send the request again.
 	hasCallerKey bool
+	// organisation is the one that sends the request, or nil. hasQuota means that the
+	// request has taken from its quota.
+	organisation *settings.Organisation
+	hasQuota     bool
+	// callerAtFault means that the request is rejected for its credentials or its quota,
+	// which says nothing about the services that this VM depends on.
+	callerAtFault bool
 	attempts     int
 	// possibleRuns counts the attempts that may have run at an upstream.
 	possibleRuns int
@@ -197,6 +207,7 @@
 	req, rejection := in.newRequest(wr, httpReq, started)
 	defer func() { in.opts.Bodies.Release(req.runRequest.Body) }()
 	if rejection != nil {
+		in.returnQuota(req)
 		in.write(wr, req, *rejection)
 		return
 	}
@@ -208,6 +219,9 @@
 	} else {
 		answer = in.runOnce(ctx, req)
 	}
+	if answer.Outcome == outcome.NotRun {
+		in.returnQuota(req)
+	}
 	in.write(wr, req, answer)
 	in.opts.Metrics.Observe(fmt.Sprintf("ingress.rank%d.micros", req.policy.Rank), in.opts.Clock.Now().Sub(started))
 }
@@ -227,7 +241,8 @@
 	if current.Version == 0 {
 		return req, req.reject(outcome.NoSettings, "this daemon has not received its settings yet")
 	}
-	firm := headerOr(httpReq.Header, outcome.HeaderFirm, in.opts.Firm)
+	caller := in.identify(current.Organisations, httpReq.Header)
+	firm := in.firmOf(caller, httpReq.Header)
 	place := headerOr(httpReq.Header, outcome.HeaderPlace, in.opts.Place)
 	path, found := current.Resolver.Routes().Find(settings.Request{Firm: firm, Place: place, Host: httpReq.Host, Method: httpReq.Method, Path: httpReq.URL.Path})
 	if !found && in.opts.SettingsConfirmed != nil && !in.opts.SettingsConfirmed() {
@@ -248,6 +263,9 @@
 	if req.policy.Internal && !in.opts.Services.Accepts(httpReq) {
 		return req, req.reject(outcome.Credentials, "this request requires the credentials of an internal service")
 	}
+	if rejection := in.checkCaller(req, caller); rejection != nil {
+		return req, rejection
+	}
 	limit, err := in.requestTimeout(httpReq.Header, req.policy.Deadline)
 	if err != nil {
 		return req, req.reject(outcome.BadRequest, err.Error())
@@ -256,6 +274,9 @@
 	if in.outlastsShutdown(req) {
 		return req, req.reject(outcome.Stopping, "the daemon shuts down before the request's deadline")
 	}
+	if rejection := in.takeQuota(httpReq.Context(), req); rejection != nil {
+		return req, rejection
+	}
 	body, err := in.opts.Bodies.Read(httpReq.Body, min(req.policy.BodyLimit, wire.MaxBody))
 	if err != nil {
 		wr.Header().Set("Connection", "close") // Keeps the server from reading the rest, which may have no end.
@@ -269,8 +290,8 @@
 		return req, req.reject(outcome.BadRequest, "the body could not be read")
 	}
 	req.runRequest = wire.RunRequest{
-		Request: req.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: req.policy.Rank, Idempotent: req.policy.Idempotent,
-		Method: httpReq.Method, Host: httpReq.Host, URI: httpReq.URL.RequestURI(), Header: in.forwardHeader(httpReq.Header, req.policy.Internal), Body: body,
+		Request: req.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: req.policy.Rank, OrganisationRank: req.organisationRank(), Idempotent: req.policy.Idempotent,
+		Method: httpReq.Method, Host: httpReq.Host, URI: httpReq.URL.RequestURI(), Header: in.forwardHeader(httpReq.Header, req, caller), Body: body,
 		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target,
 	}
 	return req, nil
@@ -315,7 +336,7 @@
 }
 
 func (in *Ingress) throttle(req *request) *throttle.Throttle {
-	th, _ := in.throttles.LoadOrStore(throttleKey{req.path.Service, req.policy.Rank}, &throttle.Throttle{})
+	th, _ := in.throttles.LoadOrStore(throttleKey{req.path.Service, req.organisationRank(), req.policy.Rank}, &throttle.Throttle{})
 	return th.(*throttle.Throttle)
 }
 
@@ -378,7 +399,7 @@
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", dialect.HeaderAttempt}
 
-func (in *Ingress) forwardHeader(header http.Header, internal bool) wire.Header {
+func (in *Ingress) forwardHeader(header http.Header, req *request, from caller) wire.Header {
 	forward := wire.Header(header.Clone())
 	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
@@ -392,9 +413,12 @@
 	if in.opts.Dialect.Origin != "" {
 		forward[in.opts.Dialect.Origin] = []string{in.opts.Dialect.OriginService}
 	}
-	if internal {
+	if req.policy.Internal {
 		delete(forward, "Authorization")
 	}
+	if from.keysRequired {
+		in.setOrganisation(forward, req.organisation)
+	}
 	return forward
 }
 
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -45,7 +45,9 @@
 	Upstream   string `codec:"u"`
 	Kind       string `codec:"k"`
 	Rank       int    `codec:"r,omitempty"`
-	Idempotent bool   `codec:"i,omitempty"`
+	// OrganisationRank is as in RunRequest.
+	OrganisationRank int  `codec:"n,omitempty"`
+	Idempotent       bool `codec:"i,omitempty"`
 	// TargetRemaining is the time left until the target latency of the request's kind
 	// has passed. 0 means that there is no target.
 	TargetRemaining time.Duration `codec:"c,omitempty"`
@@ -78,6 +80,9 @@
 	Kind       string `codec:"k"`
 	Firm       string `codec:"f"`
 	Rank       int    `codec:"r"`
+	// OrganisationRank is the rank of the organisation, Firm, that sends the request. It
+	// is 0 for a request without an organisation.
+	OrganisationRank int `codec:"n,omitempty"`
 	Idempotent bool   `codec:"i"`
 	// Trial marks a trial request, which shows whether an ejected or suspected
 	// upstream works again.
--- a/cactuskeeper/keeper/apply.go
+++ b/cactuskeeper/keeper/apply.go
@@ -136,7 +136,7 @@
 func (ke *Keeper) publish() error {
 	ke.mu.RLock()
 	version, digest := ke.store.Version(), ke.store.Digest()
-	upd := settingsync.Update{Version: version, Digest: digest, Changes: ke.store.Since(ke.replica.Current().Version)}
+	upd := settingsync.Update{Version: version, Digest: digest, Changes: ke.store.Since(ke.replica.Current().Version)} // Without secret keys in the replica.
 	if ke.replica.Current().Version == 0 {
 		upd.Tree = ke.store.Tree().Nodes
 	}
--- a/cactuskeeper/keeper/settings.go
+++ b/cactuskeeper/keeper/settings.go
@@ -105,7 +105,7 @@
 		}
 		var tree *settings.Tree
 		if tree, err = store.At(res.Version); err == nil {
-			res.Ini = string(tree.INI())
+			res.Ini = string(tree.Public().INI())
 			res.Digest = tree.Digest()
 		}
 	})
@@ -163,6 +163,7 @@
 }
 
 func toAPIChange(change settings.Change) *gensettings.Change {
+	change = change.Public()
 	gen := &gensettings.Change{
 		Version: change.Version, ID: change.ID, From: change.From, Author: change.Author,
 		Reason: change.Reason, Time: change.Time.Format(time.RFC3339), Edits: []*gensettings.AppliedEdit{},
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -27,13 +27,19 @@
 	// OriginService is its value for callers of this VM.
 	Origin        string
 	OriginService string
+	// Credential is the header with the key of the organisation that sends the request,
+	// and Organisation the one that tells upstreams the organisation's title. Both are
+	// forwarded unchanged unless the settings require keys. With keys, Credential is
+	// never forwarded, and Organisation is only what the daemon sets.
+	Credential   string
+	Organisation string
 	// OmitsDetails omits the headers with the outcome, the reason, the upstream and
 	// the number of attempts.
 	OmitsDetails bool
 	// StrictRejections sends 503 and Retry-After only if it is certain that the
 	// request did not run. Otherwise a status of 429 or 5xx becomes 504 after a
 	// deadline and 502 in other cases. Other statuses stay. Retry-After is in seconds
-	// with three decimals.
+	// with three decimals. A request over its organisation's quota gets 429 in any case.
 	StrictRejections bool
 }
 
@@ -65,7 +71,7 @@
 
 // DefaultCaller returns the contract of the product with callers.
 func DefaultCaller() Caller {
-	return Caller{Deadline: outcome.HeaderDeadline, Key: outcome.HeaderKey}
+	return Caller{Deadline: outcome.HeaderDeadline, Key: outcome.HeaderKey, Credential: HeaderCredential, Organisation: HeaderOrganisation}
 }
 
 // DefaultUpstream returns the contract of the product with upstreams.
@@ -77,6 +83,12 @@
 // its answers, the gate can match answers to attempts and reuse connections.
 const HeaderAttempt = "Cactus-Attempt"
 
+// Headers of the product for the key of an organisation and for its title.
+const (
+	HeaderCredential   = "Cactus-Credential"
+	HeaderOrganisation = "Cactus-Organisation"
+)
+
 // Headers of the product by which upstreams limit their requests, and say that they leave.
 const (
 	HeaderLimit   = "Cactus-Limit"
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -78,6 +78,10 @@
 	// Running means that another attempt with the same key is running or may have
 	// run, or that it ran and its answer was not kept.
 	Running Reason = "running"
+	// OverQuota means that the organisation has used up its quota for the moment.
+	OverQuota Reason = "overQuota"
+	// QuotaUnavailable means that the organisation's quota can't be asked for.
+	QuotaUnavailable Reason = "quotaUnavailable"
 	// UpstreamRejected means that the upstream itself rejected the request.
 	UpstreamRejected Reason = "shed"
 	// Stopping means that the daemon or the upstream is shutting down.
@@ -101,11 +105,11 @@
 		return http.StatusGatewayTimeout
 	case KeyClosed, KeyTooOld, Running:
 		return http.StatusConflict
-	case Overloaded, UpstreamRejected:
+	case Overloaded, OverQuota, UpstreamRejected:
 		return http.StatusTooManyRequests
 	case LinkLost, UpstreamFailed:
 		return http.StatusBadGateway
-	case ClaimFailed, Suspected, RetryBudgetExhausted, NoSettings, NoUpstream, Stopping:
+	case ClaimFailed, Suspected, RetryBudgetExhausted, NoSettings, NoUpstream, QuotaUnavailable, Stopping:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusInternalServerError
--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -34,6 +34,11 @@
 	Lowest Level
 	// Highest is the shallowest level, besides the root, that may set the key.
 	Highest Level
+	// Secret marks a key whose value only the keepers hold; see Tree.Public.
+	Secret bool
+	// Optional marks a key that the root need not set. Where it is not set, the
+	// default applies.
+	Optional bool
 	// Text explains the key to operators.
 	Text  string
 	parse func(*Policy, string) error
@@ -42,6 +47,7 @@
 // keys lists all keys, sorted by name.
 var keys = []Key{
 	annotationsKey(),
+	optional(boolKey(KeyAnonymous, "false", "Whether requests need no key of an organisation.", func(po *Policy) *bool { return &po.Anonymous })),
 	intKey("bodyLimit", "bytes", 0, 64<<20, "262144", LevelKind, "Largest body of a request or a response.", func(po *Policy) *int { return &po.BodyLimit }),
 	durationKey("boutLength", 100*time.Millisecond, time.Hour, "4s", LevelService, "Mean length of a failure burst, in which an upstream fails most requests.", func(po *Policy) *time.Duration { return &po.BoutLength }),
 	durationKey("calmLength", time.Second, 24*time.Hour, "20s", LevelService, "Mean time between two failure bursts of an upstream.", func(po *Policy) *time.Duration { return &po.CalmLength }),
@@ -60,9 +66,14 @@
 	boolKey("idempotent", "false", "Whether a request may be executed more than once.", func(po *Policy) *bool { return &po.Idempotent }),
 	rootDurationKey("idleTimeout", time.Millisecond, time.Hour, "2m0s", "How long a caller's connection may stay idle.", func(po *Policy) *time.Duration { return &po.IdleTimeout }),
 	boolKey("internal", "false", "Whether only own services, identified by their credential, may send the request.", func(po *Policy) *bool { return &po.Internal }),
+	keyDigestsKey(),
+	keysKey(),
 	choiceKey("method", []string{AnyMethod, "GET", "POST", "PUT", "PATCH", "DELETE"}, "GET", LevelKind, "HTTP method of the kind's requests.", func(po *Policy) *string { return &po.Method }),
+	organisationRankKey(),
 	pathKey(),
 	intKey("queueLimit", "requests", 0, 100000, "64", LevelService, "Requests that may be queued for one endpoint.", func(po *Policy) *int { return &po.QueueLimit }),
+	quotaKey(KeyQuotaBurst, "requests", "Requests that the organisation may send at once beyond its rate."),
+	quotaKey(KeyQuotaRate, "requests/s", "Limit on the organisation's requests a second, over the whole fleet; 0 means no limit."),
 	intKey("quotes", "endpoints", 0, 16, "0", LevelService, "Endpoints of the own availability zone, and as many of other zones, that are asked for a wait estimate before a request is sent; 0 asks none.", func(po *Policy) *int { return &po.Quotes }),
 	intKey("rank", "rank", 0, RankCount-1, "2", LevelKind, "Rank of the requests; 0 is the most urgent.", func(po *Policy) *int { return &po.Rank }),
 	intKey("retryAttempts", "attempts", 1, 1000, "3", LevelKind, "Maximum number of attempts for one request.", func(po *Policy) *int { return &po.RetryAttempts }),
@@ -77,6 +88,7 @@
 	durationKey("slowStart", 0, time.Hour, "5s", LevelService, "Time over which a warm upstream is ramped up to its full share.", func(po *Policy) *time.Duration { return &po.SlowStart }),
 	splitKey(),
 	durationKey("target", time.Millisecond, 24*time.Hour, "250ms", LevelKind, "Target latency of the kind.", func(po *Policy) *time.Duration { return &po.Target }),
+	titleKey(),
 	intKey("trialSuccesses", "requests", 1, 1000, "5", LevelService, "Consecutive successful idempotent requests after which an ejected upstream is used again.", func(po *Policy) *int { return &po.TrialSuccesses }),
 	durationKey("zoneCost", 0, time.Minute, "100ms", LevelService, "Wait that an endpoint in another availability zone must save, by its wait estimate, to be chosen.", func(po *Policy) *time.Duration { return &po.ZoneCost }),
 	intKey("zoneSpillPercent", "percent", 0, 1000, "80", LevelService, "Load of the own availability zone from which requests go to other zones.", func(po *Policy) *int { return &po.ZoneSpillPercent }),
@@ -85,6 +97,9 @@
 // AnyMethod matches every HTTP method.
 const AnyMethod = "ANY"
 
+// keyAnnotations is the name of the key that no decision depends on.
+const keyAnnotations = "annotations"
+
 // KeyClaimHolders is the name of the key that holds the table of claim holders.
 const KeyClaimHolders = "claimHolders"
 
@@ -108,9 +123,18 @@
 
 // IsAllowedAt reports whether a node at the given level may set the key.
 func (ke Key) IsAllowedAt(level Level) bool {
+	if ke.describesOrganisation() {
+		return level == LevelFirm
+	}
 	return level == LevelRoot && ke.Highest < LevelKind || level >= ke.Highest && level <= ke.Lowest
 }
 
+// describesOrganisation reports whether the key describes an organisation. Such a key
+// is set by the node of the firm only and isn't inherited.
+func (ke Key) describesOrganisation() bool {
+	return ke.Highest == LevelFirm && ke.Lowest == LevelFirm
+}
+
 // String returns the name of the level.
 func (le Level) String() string {
 	return [...]string{"root", "firm", "place", "service", "kind"}[le]
@@ -118,7 +142,7 @@
 
 func annotationsKey() Key {
 	const allowed = "text on one line"
-	return Key{Name: "annotations", Unit: "text", Range: allowed, Default: "", Highest: LevelFirm, Lowest: LevelKind, Text: "Free text kept with the settings; the fleet does not use it.", parse: func(po *Policy, value string) error {
+	return Key{Name: keyAnnotations, Unit: "text", Range: allowed, Default: "", Highest: LevelFirm, Lowest: LevelKind, Text: "Free text kept with the settings; the fleet does not use it.", parse: func(po *Policy, value string) error {
 		if strings.ContainsAny(value, "\r\n") {
 			return fmt.Errorf("annotations = %q: want %s", value, allowed)
 		}
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -13,6 +13,7 @@
 // same name; Share holds share0 to share3.
 type Policy struct {
 	Annotations      string
+	Anonymous        bool
 	Host             string
 	Method           string
 	Path             string
--- a/core/settings/resolver.go
+++ b/core/settings/resolver.go
@@ -12,6 +12,8 @@
 	mu     sync.RWMutex
 	cache  map[Path]*Policy
 	routes *RouteTable
+	// organisations returns the index of the tree, built on the first call.
+	organisations func() *Organisations
 }
 
 // Source is an effective value and the node that sets it.
@@ -27,7 +29,14 @@
 
 // NewResolver returns a Resolver for a valid tree.
 func NewResolver(tree *Tree) *Resolver {
-	return &Resolver{tree: tree, cache: make(map[Path]*Policy)}
+	return &Resolver{tree: tree, cache: make(map[Path]*Policy), organisations: sync.OnceValue(func() *Organisations { return newOrganisations(tree) })}
+}
+
+// Next returns a Resolver for a valid tree that differs from that of re by edits of the
+// given paths only. The index of organisations is not built anew.
+func (re *Resolver) Next(tree *Tree, paths map[string]bool) *Resolver {
+	organisations := re.Organisations().update(re.tree, tree, paths)
+	return &Resolver{tree: tree, cache: make(map[Path]*Policy), organisations: func() *Organisations { return organisations }}
 }
 
 // Explain returns, for each key that is set for a node, the effective value and
@@ -36,6 +45,9 @@
 	var sources []Source
 	chain := Chain(path)
 	for _, key := range keys {
+		if key.Secret || key.describesOrganisation() && path.Level() != LevelFirm {
+			continue
+		}
 		for _, node := range chain {
 			if value, set := re.tree.Nodes[node][key.Name]; set {
 				sources = append(sources, Source{Key: key.Name, Value: value, Level: node})
@@ -46,8 +58,16 @@
 	return sources
 }
 
-// Policy returns the effective policy of a node.
+// Organisations returns the index of the organisations of the tree.
+func (re *Resolver) Organisations() *Organisations { return re.organisations() }
+
+// Policy returns the effective policy of a node. A firm without settings of its own has
+// the policies of every firm, and no entries in the cache, which could not hold those of
+// thousands of organisations.
 func (re *Resolver) Policy(path Path) *Policy {
+	if path.Firm != "" && path.Firm != AnyName && !re.Organisations().hasPolicy(path.Firm) {
+		path.Firm = AnyName
+	}
 	re.mu.RLock()
 	policy := re.cache[path]
 	re.mu.RUnlock()
--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -76,13 +76,12 @@
 	return edits
 }
 
-// NewTree returns a tree whose root sets every key that is allowed there to its
-// default. Storing the defaults keeps the effective settings unchanged when a
+// NewTree returns a tree whose root sets every key that it must set to its default. Storing the defaults keeps the effective settings unchanged when a
 // later version of the program has other defaults.
 func NewTree() *Tree {
 	root := make(Node)
 	for _, key := range keys {
-		if key.Highest < LevelKind {
+		if key.isRequired() {
 			root[key.Name] = key.Default
 		}
 	}
@@ -179,12 +178,16 @@
 	return next
 }
 
-// Digest returns the SHA-256 digest of the tree in hexadecimal.
+// Digest returns the SHA-256 digest of the tree in hexadecimal. It covers the keys that
+// are not secret, so that a tree and its Public form have the same digest.
 func (tr *Tree) Digest() string {
 	sum := sha256.New()
 	for _, path := range slices.Sorted(maps.Keys(tr.Nodes)) {
 		node := tr.Nodes[path]
 		for _, key := range slices.Sorted(maps.Keys(node)) {
+			if isSecret(key) {
+				continue
+			}
 			fmt.Fprintf(sum, "%d:%s%d:%s%d:%s", len(path), path, len(key), key, len(node[key]), node[key])
 		}
 	}
@@ -214,14 +217,14 @@
 		faults = append(faults, validateNode(path, tr.Nodes[path])...)
 	}
 	for _, key := range keys {
-		if _, set := tr.Nodes[RootSection][key.Name]; !set && key.Highest < LevelKind {
+		if _, set := tr.Nodes[RootSection][key.Name]; !set && key.isRequired() {
 			faults = append(faults, fmt.Sprintf("[root] %s: not set, but the root must set every key", key.Name))
 		}
 	}
 	if len(faults) > 0 {
 		return faults
 	}
-	return tr.validateRoutes()
+	return append(tr.validateOrganisations(), tr.validateRoutes()...)
 }
 
 func (tr *Tree) applyEdit(edit Edit) {
--- a/core/settingsync/settingsync.go
+++ b/core/settingsync/settingsync.go
@@ -49,13 +49,16 @@
 	Tree      map[string]settings.Node `codec:"tree"`
 }
 
-// Active is the active version of the settings and a Resolver for its tree.
+// Active is the active version of the settings, with a Resolver and an index of the
+// organisations for its tree.
 type Active struct {
 	Version   uint64
 	Digest    string
 	Signature []byte
 	Tree      *settings.Tree
 	Resolver  *settings.Resolver
+	// Organisations is never nil.
+	Organisations *settings.Organisations
 }
 
 // Replica holds the active settings of a process and the most recent changes.
@@ -90,7 +93,8 @@
 // keys is called for each update, so that keys can be replaced.
 func NewReplica(keys func() []ed25519.PublicKey) *Replica {
 	rep := &Replica{keys: keys, newVersion: make(chan struct{})}
-	rep.current.Store(&Active{Tree: &settings.Tree{Nodes: map[string]settings.Node{}}, Resolver: settings.NewResolver(settings.NewTree())})
+	res := settings.NewResolver(settings.NewTree())
+	rep.current.Store(&Active{Tree: &settings.Tree{Nodes: map[string]settings.Node{}}, Resolver: res, Organisations: res.Organisations()})
 	return rep
 }
 
@@ -111,7 +115,8 @@
 	if !re.hasValidSignature(upd) {
 		return false, fmt.Errorf("version %d: %w", upd.Version, ErrBadSignature)
 	}
-	tree, err := nextTree(now, upd)
+	upd = upd.public()
+	tree, paths, err := nextTree(now, upd)
 	if err != nil {
 		return false, fmt.Errorf("version %d: %w", upd.Version, err)
 	}
@@ -119,7 +124,14 @@
 		return false, fmt.Errorf("version %d: %w", upd.Version, ErrDigestMismatch)
 	}
 	re.recordChanges(upd)
-	re.current.Store(&Active{Version: upd.Version, Digest: upd.Digest, Signature: upd.Signature, Tree: tree, Resolver: settings.NewResolver(tree)})
+	active := &Active{Version: upd.Version, Digest: upd.Digest, Signature: upd.Signature, Tree: tree}
+	if upd.Tree != nil {
+		active.Resolver = settings.NewResolver(tree)
+	} else {
+		active.Resolver = now.Resolver.Next(tree, paths)
+	}
+	active.Organisations = active.Resolver.Organisations()
+	re.current.Store(active)
 	close(re.newVersion)
 	re.newVersion = make(chan struct{})
 	return true, nil
@@ -199,32 +211,48 @@
 	}
 }
 
-// nextTree returns the tree of an update, or ErrMissingChanges if a change is
-// missing.
-func nextTree(now *Active, upd Update) (*settings.Tree, error) {
+// public returns the update without secret keys. Daemons and their peers must not hold
+// them, and the digest doesn't cover them.
+func (up Update) public() Update {
+	if up.Tree != nil {
+		up.Tree = (&settings.Tree{Nodes: up.Tree}).Public().Nodes
+	}
+	changes := up.Changes
+	up.Changes = make([]settings.Change, 0, len(changes))
+	for _, change := range changes {
+		up.Changes = append(up.Changes, change.Public())
+	}
+	return up
+}
+
+// nextTree returns the tree of an update and the paths of the nodes that its changes edit,
+// or ErrMissingChanges if a change is missing.
+func nextTree(now *Active, upd Update) (*settings.Tree, map[string]bool, error) {
 	if upd.Tree != nil {
-		return &settings.Tree{Nodes: upd.Tree}, nil
+		return &settings.Tree{Nodes: upd.Tree}, nil, nil
 	}
 	tree := now.Tree
 	version := now.Version
+	paths := make(map[string]bool)
 	for _, change := range upd.Changes {
 		if change.Version <= version {
 			continue
 		}
 		if change.Version != version+1 {
-			return nil, ErrMissingChanges
+			return nil, nil, ErrMissingChanges
 		}
 		edits := make([]settings.Edit, 0, len(change.Edits))
 		for _, edit := range change.Edits {
 			edits = append(edits, edit.Edit)
+			paths[edit.Edit.Path] = true
 		}
 		tree = tree.Apply(edits)
 		version = change.Version
 	}
 	if version != upd.Version {
-		return nil, ErrMissingChanges
+		return nil, nil, ErrMissingChanges
 	}
-	return tree, nil
+	return tree, paths, nil
 }
 
 // signedMessage returns the bytes that the signature of a version covers.
