--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -28,6 +28,12 @@
 // IsValidName reports whether a name may be a part of a path.
 func IsValidName(name string) bool { return namePattern.MatchString(name) }
 
+// IsFirmName reports whether a firm may have the name: it is valid, and no section of the
+// INI form with this name means something else.
+func IsFirmName(name string) bool {
+	return IsValidName(name) && name != RootSection && name != ini.DefaultSection
+}
+
 // Edit sets or unsets one key of one node.
 type Edit struct {
 	Path  string `codec:"path"`
