--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -126,7 +126,7 @@
 	// callerAtFault means that the request is rejected for its credentials or its quota,
 	// which says nothing about the services that this VM depends on.
 	callerAtFault bool
-	attempts     int
+	attempts      int
 	// possibleRuns counts the attempts that may have run at an upstream.
 	possibleRuns int
 	// reachedUpstream means that an attempt reached an upstream, even if the
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -42,9 +42,9 @@
 // WaitEstimateRequest holds what a gate needs to know about a request to estimate its
 // wait.
 type WaitEstimateRequest struct {
-	Upstream   string `codec:"u"`
-	Kind       string `codec:"k"`
-	Rank       int    `codec:"r,omitempty"`
+	Upstream string `codec:"u"`
+	Kind     string `codec:"k"`
+	Rank     int    `codec:"r,omitempty"`
 	// OrganisationRank is as in RunRequest.
 	OrganisationRank int  `codec:"n,omitempty"`
 	Idempotent       bool `codec:"i,omitempty"`
@@ -74,16 +74,16 @@
 type RunRequest struct {
 	Attempt string `codec:"a"`
 	// Request is the request id that the caller sent, for logs.
-	Request    string `codec:"q,omitempty"`
-	Upstream   string `codec:"u"`
-	Service    string `codec:"s"`
-	Kind       string `codec:"k"`
-	Firm       string `codec:"f"`
-	Rank       int    `codec:"r"`
+	Request  string `codec:"q,omitempty"`
+	Upstream string `codec:"u"`
+	Service  string `codec:"s"`
+	Kind     string `codec:"k"`
+	Firm     string `codec:"f"`
+	Rank     int    `codec:"r"`
 	// OrganisationRank is the rank of the organisation, Firm, that sends the request. It
 	// is 0 for a request without an organisation.
-	OrganisationRank int `codec:"n,omitempty"`
-	Idempotent bool   `codec:"i"`
+	OrganisationRank int  `codec:"n,omitempty"`
+	Idempotent       bool `codec:"i"`
 	// Trial marks a trial request, which shows whether an ejected or suspected
 	// upstream works again.
 	Trial bool `codec:"y"`
