--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -188,13 +189,22 @@
 // are not secret, so that a tree and its Public form have the same digest.
 func (tr *Tree) Digest() string {
 	sum := sha256.New()
+	var line []byte
+	appendText := func(text string) {
+		line = strconv.AppendInt(line, int64(len(text)), 10)
+		line = append(append(line, ':'), text...)
+	}
 	for _, path := range slices.Sorted(maps.Keys(tr.Nodes)) {
 		node := tr.Nodes[path]
 		for _, key := range slices.Sorted(maps.Keys(node)) {
 			if isSecret(key) {
 				continue
 			}
-			fmt.Fprintf(sum, "%d:%s%d:%s%d:%s", len(path), path, len(key), key, len(node[key]), node[key])
+			line = line[:0]
+			appendText(path)
+			appendText(key)
+			appendText(node[key])
+			sum.Write(line)
 		}
 	}
 	return hex.EncodeToString(sum.Sum(nil))
