--- a/cactusctl/internal/cmd/change.go
+++ b/cactusctl/internal/cmd/change.go
@@ -46,6 +46,10 @@
 		fmt.Fprintln(out, "no difference")
 		return nil
 	}
+	edits, err := completeOrganisationEdits(edits)
+	if err != nil {
+		return &process.ExitError{Code: process.ExitUsage, Err: err}
+	}
 	if ap.output != "json" || ch.dryRun {
 		printDiff(out, tree, edits)
 	}
@@ -100,6 +104,7 @@
 			path = edit.Path
 			fmt.Fprintf(out, "[%s]\n", path)
 		}
+		edit = hideSecret(edit)
 		if before, set := tree.Nodes[edit.Path][edit.Key]; set {
 			fmt.Fprintf(out, "- %s = %s\n", edit.Key, before)
 		}
--- a/cactusctl/internal/cmd/settings_diff.go
+++ b/cactusctl/internal/cmd/settings_diff.go
@@ -55,6 +55,9 @@
 func printEdits(ap *app, com *cobra.Command, from, to *settings.Tree) error {
 	edits := settings.Diff(from, to)
 	if ap.output == "json" {
+		for i := range edits {
+			edits[i] = hideSecret(edits[i])
+		}
 		return printJSON(com.OutOrStdout(), toAPIEdits(edits))
 	}
 	printDiff(com.OutOrStdout(), from, edits)
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -158,7 +158,8 @@
 	return keys
 }
 
-// RemoveDeparted deletes the tracked state of endpoints that have left the fleet.
+// RemoveDeparted deletes the tracked state of endpoints that have left the fleet, and of
+// organisations that the settings don't have any more.
 func (in *Ingress) RemoveDeparted() {
 	known := make(map[string]bool)
 	for _, pool := range in.opts.View().Pools {
@@ -167,4 +168,5 @@
 		}
 	}
 	in.tracker.forget(func(key string) bool { return known[key] })
+	in.usage.removeUnknown(in.opts.Replica.Current().Organisations)
 }
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -92,6 +92,7 @@
 	lastFailureAt atomic.Int64 // Unix nanoseconds of the last failure response.
 	budgets       sync.Map     // *budget.Budget by service.
 	throttles     sync.Map     // *throttle.Throttle by throttleKey.
+	usage         usage
 }
 
 // shutdown is the time span in which the daemon shuts down. Requests that still run at
@@ -196,9 +197,14 @@
 	return time.Unix(0, in.lastFailureAt.Load())
 }
 
-// Dump returns the tracked state of endpoints and paths, for debugging.
+// Dump returns the tracked state of endpoints and paths, and the counters of the
+// organisations, for debugging.
 func (in *Ingress) Dump() map[string]any {
-	return in.tracker.dump()
+	dump := in.tracker.dump()
+	if counts := in.usage.dump(); counts != nil {
+		dump["organisations"] = counts
+	}
+	return dump
 }
 
 // ServeHTTP handles one request of a caller.
--- a/cactusd/internal/ingress/organisation.go
+++ b/cactusd/internal/ingress/organisation.go
@@ -59,6 +59,9 @@
 // needs one. Unless the settings are known to be the newest, the key may be a new one.
 func (in *Ingress) checkCaller(req *request, from caller) *wire.RunAnswer {
 	req.organisation = from.organisation
+	if req.organisation != nil {
+		in.usage.of(req.organisation).requests.Add(1)
+	}
 	if !from.keysRequired || from.organisation != nil || req.policy.Anonymous && !from.hasCredential {
 		return nil
 	}
@@ -85,9 +88,10 @@
 		return nil
 	}
 	req.callerAtFault = true
-	answer := req.reject(outcome.OverQuota, "the organisation is over its limit")
-	if verdict.Outcome == quota.Unavailable {
-		answer = req.reject(outcome.QuotaUnavailable, "the quota of the organisation is not available")
+	answer := req.reject(outcome.QuotaUnavailable, "the quota of the organisation is not available")
+	if verdict.Outcome == quota.OverLimit {
+		in.usage.of(req.organisation).overQuota.Add(1)
+		answer = req.reject(outcome.OverQuota, "the organisation is over its limit")
 	}
 	answer.RetryAfter = verdict.RetryAfter
 	return answer
