feat(gate): the organisation's rank takes precedence over that of the kind

Change: requests are served in the order of (organisation's rank, kind's rank), and organisations of a class in turn.

Ruled out: fixed shares of 15, 10 and 5 %.

--- a/cactusctl/internal/cmd/settings_keys.go
+++ b/cactusctl/internal/cmd/settings_keys.go
@@ -45,6 +45,8 @@
 	switch {
 	case key.Lowest == settings.LevelRoot:
 		return "root"
+	case key.Lowest == settings.LevelFirm && key.Highest == settings.LevelFirm:
+		return "firm"
 	case key.Highest == settings.LevelKind:
 		return "kind"
 	}
--- a/cactusd/internal/gate/estimate.go
+++ b/cactusd/internal/gate/estimate.go
@@ -22,7 +22,7 @@
 	now := gu.opts.Clock.Now()
 	gu.adoptLimit(now, req.KnownLimit)
 	expected := gu.expectedTime(now, req.Kind)
-	item := &rankqueue.Item{Rank: req.Rank, Target: targetTime(now, req.TargetRemaining), ExpectedDuration: expected}
+	item := &rankqueue.Item{Rank: req.Rank, OrganisationRank: req.OrganisationRank, Target: targetTime(now, req.TargetRemaining), ExpectedDuration: expected}
 	ans := wire.WaitEstimate{Wait: gu.queue.EstimateWait(now, item), ExpectedDuration: expected, Load: gu.load(now)}
 	switch {
 	case gu.leaving:
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -250,7 +250,7 @@
 func (gu *guard) admit(ctx context.Context, req wire.RunRequest) (wire.RunAnswer, bool) {
 	decided := make(chan rankqueue.Decision, 1)
 	now := gu.opts.Clock.Now()
-	item := &rankqueue.Item{Rank: req.Rank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Target: targetTime(now, req.TargetRemaining), LastResort: req.LastResort, AttemptID: req.Attempt, OnDecision: func(dec rankqueue.Decision) { decided <- dec }}
+	item := &rankqueue.Item{Rank: req.Rank, OrganisationRank: req.OrganisationRank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Target: targetTime(now, req.TargetRemaining), LastResort: req.LastResort, AttemptID: req.Attempt, OnDecision: func(dec rankqueue.Decision) { decided <- dec }}
 	gu.mu.Lock()
 	gu.adoptLimit(now, req.KnownLimit)
 	rejection, rejected := gu.checkAdmission(now, req)
@@ -390,7 +390,7 @@
 	if sent.failed || sent.rejected || sent.cancelled {
 		held = 0 // Not counted in the averages behind the wait estimates.
 	}
-	gu.queue.Release(now, req.Rank, held)
+	gu.queue.Release(now, rankqueue.Class(req.OrganisationRank, req.Rank), held)
 	gu.scheduleStart(now)
 	if !sent.rejected && !sent.cancelled {
 		gu.detector.ObserveEnd(now, req.Baseline, res)
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -1,11 +1,18 @@
 // Package rankqueue is the queue in front of an upstream: it shares the upstream's
 // slots among ranks (priority classes) and firms (organisations).
 //
-// More urgent ranks are served first, but each rank with queued requests gets at
+// A request has two ranks, that of its organisation and that of its kind. The first
+// one takes precedence: requests are served in the order of their class, which is the
+// pair of both ranks. Without organisations, all requests have organisation rank 0,
+// and a class is the rank of a kind.
+//
+// More urgent classes are served first, but each rank with queued requests gets at
 // least its share of the slots: it earns credit with each slot that is assigned, and
-// a rank with at least one full credit is served before more urgent ones. Within a
-// rank, slots go to the firms in round-robin order. A request that can't meet its
-// deadline is rejected at once.
+// a rank with at least one full credit is served before more urgent ones. This is
+// done among the ranks of organisations, with shares that follow their demand, and,
+// within the chosen one, among the ranks of kinds, with the shares of the policy. Within a class, slots
+// go to the firms in round-robin order. A request that can't meet its deadline is
+// rejected at once.
 //
 // The queue is made for two kinds of overload. A flood of one rank must neither delay
 // more urgent requests nor take the shares of the other ranks. And when more requests
@@ -16,7 +23,7 @@
 // Usage, with the caller's lock held:
 //
 //	dec := que.Add(now, item)          // run, wait or a rejection
-//	que.Release(now, item.Rank, took)  // releases the slot and starts queued items
+//	que.Release(now, item.Class(), took) // releases the slot and starts queued items
 //	que.SetLimit(now, 2.5)             // the upstream takes 2.5 requests per second
 //	wait, ok := que.NextStart(now)     // when to call Start, if a limit holds items back
 package rankqueue
@@ -51,13 +58,17 @@
 	// Limit is the maximum number of queued items.
 	Limit int
 	// Share is the percentage of the slots, and of the places in the queue, that
-	// each rank is guaranteed.
+	// each rank of kinds is guaranteed: of all of them with organisation rank 0, and
+	// of the share of the organisation rank with the others.
 	Share [RankCount]int
 }
 
 // Item is a request that needs a slot.
 type Item struct {
-	Rank     int
+	// Rank is the rank of the kind, and OrganisationRank that of the organisation.
+	Rank             int
+	OrganisationRank int
+
 	Firm     string
 	Deadline time.Time
 	// Target is when the response should be there, or zero for no target. A later
@@ -84,12 +95,17 @@
 	waiting int
 	// limit is the upstream's own limit on its requests per second.
 	limit pace.Limiter
-	ranks [RankCount]rankState
+	// ranks holds the state of each class.
+	ranks [ClassCount]rankState
+	// organisationCredit is the credit of each organisation rank, and offered the number
+	// of its requests per second, rejected ones included.
+	organisationCredit [RankCount]float64
+	offered            [RankCount]demand
 	// serviceTime is the moving average of the time that a request holds a slot.
 	serviceTime time.Duration
 }
 
-// rankState is the queue of a rank, with the state of its scheduling.
+// rankState is the queue of a class, with the state of its scheduling.
 type rankState struct {
 	credit  float64
 	waiting int
@@ -128,6 +144,7 @@
 	if item.missesDeadline(now) {
 		return RejectDeadline
 	}
+	qu.offered[item.Class()/RankCount].add(now, time.Second)
 	if qu.isFree(now) {
 		qu.start(now)
 		qu.recordDemand(now, item, true)
@@ -137,7 +154,7 @@
 	if now.Add(wait + item.ExpectedDuration).After(item.Deadline) {
 		return RejectDeadline
 	}
-	if qu.waiting >= qu.policy.Limit && !qu.evictFor(item.Rank) {
+	if qu.waiting >= qu.policy.Limit && !qu.evictFor(item.Class()) {
 		return RejectFull
 	}
 	qu.recordDemand(now, item, isOnTime)
@@ -147,27 +164,27 @@
 
 // Cancel removes a queued item; it returns false if the item is not queued.
 func (qu *Queue) Cancel(now time.Time, item *Item) bool {
-	rank := &qu.ranks[item.Rank]
+	rank := &qu.ranks[item.Class()]
 	if at := slices.Index(rank.firms[item.Firm], item); at >= 0 {
-		qu.removeOnTime(item.Rank, item.Firm, at)
+		qu.removeOnTime(item.Class(), item.Firm, at)
 		return true
 	}
 	if at := slices.Index(rank.late, item); at >= 0 {
-		qu.removeLate(item.Rank, at)
+		qu.removeLate(item.Class(), at)
 		rank.lateLoss.record(now, true)
 		return true
 	}
 	return false
 }
 
-// Release releases a slot that a request of the given rank held, and starts queued
+// Release releases a slot that a request of the given class held, and starts queued
 // items. held updates the averages behind the wait estimates unless it is 0, which
 // callers pass for failed requests.
-func (qu *Queue) Release(now time.Time, rank int, held time.Duration) {
+func (qu *Queue) Release(now time.Time, class int, held time.Duration) {
 	qu.running--
 	if held > 0 {
 		updateAverage(&qu.serviceTime, held)
-		updateAverage(&qu.ranks[rank].serviceTime, held)
+		updateAverage(&qu.ranks[class].serviceTime, held)
 	}
 	qu.Start(now)
 }
@@ -179,7 +196,7 @@
 		item := qu.pop(now)
 		missesDeadline := item.missesDeadline(now)
 		if item.missesTarget(now) {
-			qu.ranks[item.Rank].lateLoss.record(now, missesDeadline)
+			qu.ranks[item.Class()].lateLoss.record(now, missesDeadline)
 		}
 		if missesDeadline {
 			item.OnDecision(RejectDeadline)
@@ -248,11 +265,11 @@
 // SetPolicy replaces the limits; items that are queued stay.
 func (qu *Queue) SetPolicy(policy Policy) { qu.policy = policy }
 
-// Waiting returns the number of queued items by rank.
+// Waiting returns the number of queued items by the rank of their kind.
 func (qu *Queue) Waiting() [RankCount]int {
 	var counts [RankCount]int
-	for i, rank := range qu.ranks {
-		counts[i] = rank.waiting
+	for class := range qu.ranks {
+		counts[class%RankCount] += qu.ranks[class].waiting
 	}
 	return counts
 }
@@ -262,10 +279,10 @@
 // there is none. A rank below its guarantee may evict from any other rank, one at or
 // above it only from less urgent ranks.
 func (qu *Queue) evictFor(rank int) bool {
-	isGuaranteed := qu.ranks[rank].waiting < qu.guaranteed(rank)
+	isGuaranteed := qu.ranks[rank].waiting < qu.guaranteedPlaces(rank)
 	evictRank, mostExcess := -1, 0
 	for i := range qu.ranks {
-		excess := qu.ranks[i].waiting - qu.guaranteed(i)
+		excess := qu.ranks[i].waiting - qu.guaranteedPlaces(i)
 		if i != rank && excess > mostExcess && (isGuaranteed || i > rank) {
 			evictRank, mostExcess = i, excess
 		}
@@ -277,11 +294,6 @@
 	return true
 }
 
-// guaranteed returns the number of places in the queue that a rank can always have.
-func (qu *Queue) guaranteed(rank int) int {
-	return qu.policy.Limit * qu.policy.Share[rank] / 100
-}
-
 // evictNewest rejects the newest late item of a rank or, if none is late, the newest
 // item of the firm with the most items.
 func (qu *Queue) evictNewest(rank int) {
@@ -317,7 +329,7 @@
 
 // push queues an item: by firm, or in the list of late items.
 func (qu *Queue) push(item *Item, isOnTime bool) {
-	rank := &qu.ranks[item.Rank]
+	rank := &qu.ranks[item.Class()]
 	rank.waiting++
 	qu.waiting++
 	if !isOnTime {
@@ -334,7 +346,7 @@
 // queued move to the list of late items, which is served last.
 func (qu *Queue) pop(now time.Time) *Item {
 	rank := qu.nextRank()
-	qu.addCredits(rank)
+	qu.addCredits(now, rank)
 	state := &qu.ranks[rank]
 	for len(state.turns) > 0 {
 		firm := state.turns[0]
@@ -353,11 +365,14 @@
 	return item
 }
 
-// nextRank returns the rank with the most credit, if that is at least one, else the
-// most urgent rank with queued items.
+// nextRank returns the class to serve next. In the organisation rank to serve, it is the
+// one with the most credit, if that is at least one, else the most urgent one with queued
+// items.
 func (qu *Queue) nextRank() int {
 	next, first := -1, -1
-	for i, rank := range qu.ranks {
+	start := qu.nextOrganisationRank() * RankCount
+	for i := start; i < start+RankCount; i++ {
+		rank := &qu.ranks[i]
 		if rank.waiting == 0 {
 			continue
 		}
@@ -410,12 +425,15 @@
 	}
 }
 
-// addCredits adds to each rank its share of the slot that the served rank gets. Ranks
-// without queued items save credit up to maxCredit, so that a burst gets its share.
-func (qu *Queue) addCredits(served int) {
-	for i := range qu.ranks {
+// addCredits adds to each rank of the organisation rank that is served its share of the
+// slot that the served class gets. Ranks without queued items save credit up to
+// maxCredit, so that a burst gets its share.
+func (qu *Queue) addCredits(now time.Time, served int) {
+	qu.addOrganisationCredits(now, served / RankCount)
+	start := served / RankCount * RankCount
+	for i := start; i < start+RankCount; i++ {
 		rank := &qu.ranks[i]
-		rank.credit = min(rank.credit+float64(qu.policy.Share[i])/100, maxCredit)
+		rank.credit = min(rank.credit+float64(qu.policy.Share[i-start])/100, maxCredit)
 	}
 	qu.ranks[served].credit = max(0, qu.ranks[served].credit-1)
 }
--- a/core/rankqueue/wait.go
+++ b/core/rankqueue/wait.go
@@ -96,11 +96,11 @@
 	if qu.isFree(now) {
 		return 0, true
 	}
-	wait = qu.waitOnTime(now, item.Rank, serviceTime)
+	wait = qu.waitOnTime(now, item.Class(), serviceTime)
 	if !item.missesTarget(now.Add(wait)) {
 		return wait, true
 	}
-	return max(wait, qu.waitLate(now, item.Rank, serviceTime)), false
+	return max(wait, qu.waitLate(now, item.Class(), serviceTime)), false
 }
 
 // waitOnTime estimates the wait of an item that is served before the late items of its
@@ -113,7 +113,7 @@
 	onTime := own.waiting - len(own.late)
 	ahead += time.Duration(onTime+1) * own.averageServiceTime(serviceTime)
 	wait := qu.drainTime(ahead, urgent, minSlotShare)
-	if share := float64(qu.policy.Share[rank]*qu.slots) / 100; share > 0 {
+	if share := qu.guaranteedSlots(now, rank); share > 0 {
 		wait = min(wait, time.Duration(float64(onTime+1)/share*float64(own.averageServiceTime(serviceTime))))
 	}
 	return max(wait, qu.limitWait(now, rank, onTime))
@@ -145,7 +145,7 @@
 	perSecond := qu.limit.PerSecond()
 	left := max(perSecond-urgentStarts, minSlotShare*perSecond)
 	wait := qu.limit.Wait(now, 1) + time.Duration(before/left*float64(time.Second))
-	if share := float64(qu.policy.Share[rank]) / 100 * perSecond; share > 0 {
+	if share := qu.guaranteedStarts(now, rank, perSecond); share > 0 {
 		wait = min(wait, qu.limit.Wait(now, 1)+time.Duration(float64(ahead+1)/share*float64(time.Second)))
 	}
 	return wait
@@ -171,7 +171,7 @@
 
 // recordDemand adds an admitted item to the demand of its rank.
 func (qu *Queue) recordDemand(now time.Time, item *Item, isOnTime bool) {
-	rank := &qu.ranks[item.Rank]
+	rank := &qu.ranks[item.Class()]
 	need := rank.averageServiceTime(qu.serviceTime)
 	rank.totalDemand.add(now, need)
 	rank.starts.add(now, time.Second)
