--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -429,7 +429,7 @@
 // slot that the served class gets. Ranks without queued items save credit up to
 // maxCredit, so that a burst gets its share.
 func (qu *Queue) addCredits(now time.Time, served int) {
-	qu.addOrganisationCredits(now, served / RankCount)
+	qu.addOrganisationCredits(now, served/RankCount)
 	start := served / RankCount * RankCount
 	for i := start; i < start+RankCount; i++ {
 		rank := &qu.ranks[i]
--- a/core/rankqueue/unchanged_test.go
+++ b/core/rankqueue/unchanged_test.go
@@ -58,9 +58,10 @@
 			}
 			dec := que.Add(now, item)
 			fmt.Fprintln(out, item.AttemptID, "added", dec, que.EstimateWait(now, item))
-			if dec == rankqueue.Run {
+			switch dec {
+			case rankqueue.Run:
 				begin(item)
-			} else if dec == rankqueue.Wait {
+			case rankqueue.Wait:
 				queued = append(queued, item)
 			}
 		case action < 92 && len(running) > 0:
--- a/standin/internal/caller/caller.go
+++ b/standin/internal/caller/caller.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,9 @@
 	Firm    string
 	// Token is sent as a bearer token if it is not empty.
 	Token string
+	// CredentialFile holds the key of the caller's organisation. It is read for each
+	// request, so that a new key is used as soon as it is there.
+	CredentialFile string
 	// BodyBytes is the size of each request body.
 	BodyBytes int
 	// Deadline is sent in the Cactus-Deadline-Ms header if it is not zero;
@@ -188,6 +192,14 @@
 	if ge.cfg.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+ge.cfg.Token)
 	}
+	if ge.cfg.CredentialFile != "" {
+		data, err := os.ReadFile(ge.cfg.CredentialFile)
+		if err != nil {
+			ge.recordError(err)
+			return
+		}
+		req.Header.Set("Cactus-Credential", strings.TrimSpace(string(data)))
+	}
 	if ge.cfg.Deadline > 0 {
 		req.Header.Set("Cactus-Deadline-Ms", strconv.FormatInt(ge.cfg.Deadline.Milliseconds(), 10))
 	}
--- a/standin/internal/cmd/call.go
+++ b/standin/internal/cmd/call.go
@@ -60,6 +60,7 @@
 	flags.StringVar(&cfg.Method, "method", "GET", "HTTP method")
 	flags.StringVar(&cfg.Path, "path", "", "path of the requests")
 	flags.StringVar(&cfg.Firm, "firm", "", "firm of the caller")
+	flags.StringVar(&cfg.CredentialFile, "credential-file", "", "file with the key of the caller's organisation, read for each request")
 	flags.StringVar(&tokenFile, "token-file", "", "file with the service token, required for internal kinds of requests")
 	flags.IntVar(&cfg.BodyBytes, "body", 0, "size of the request body in bytes")
 	flags.Float64Var(&cfg.Rate, "rate", 0, "requests per second in an open loop; 0 for a closed loop")
