--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -28,6 +29,12 @@
 // IsValidName reports whether a name may be a part of a path.
 func IsValidName(name string) bool { return namePattern.MatchString(name) }
 
+// IsFirmName reports whether a firm may have the name: it is valid, and no section of the
+// INI form with this name means something else.
+func IsFirmName(name string) bool {
+	return IsValidName(name) && name != RootSection && name != ini.DefaultSection
+}
+
 // Edit sets or unsets one key of one node.
 type Edit struct {
 	Path  string `codec:"path"`
@@ -76,13 +83,12 @@
 	return edits
 }
 
-// NewTree returns a tree whose root sets every key that is allowed there to its
-// default. Storing the defaults keeps the effective settings unchanged when a
+// NewTree returns a tree whose root sets every key that it must set to its default. Storing the defaults keeps the effective settings unchanged when a
 // later version of the program has other defaults.
 func NewTree() *Tree {
 	root := make(Node)
 	for _, key := range keys {
-		if key.Highest < LevelKind {
+		if key.isRequired() {
 			root[key.Name] = key.Default
 		}
 	}
@@ -179,13 +185,26 @@
 	return next
 }
 
-// Digest returns the SHA-256 digest of the tree in hexadecimal.
+// Digest returns the SHA-256 digest of the tree in hexadecimal. It covers the keys that
+// are not secret, so that a tree and its Public form have the same digest.
 func (tr *Tree) Digest() string {
 	sum := sha256.New()
+	var line []byte
+	appendText := func(text string) {
+		line = strconv.AppendInt(line, int64(len(text)), 10)
+		line = append(append(line, ':'), text...)
+	}
 	for _, path := range slices.Sorted(maps.Keys(tr.Nodes)) {
 		node := tr.Nodes[path]
 		for _, key := range slices.Sorted(maps.Keys(node)) {
-			fmt.Fprintf(sum, "%d:%s%d:%s%d:%s", len(path), path, len(key), key, len(node[key]), node[key])
+			if isSecret(key) {
+				continue
+			}
+			line = line[:0]
+			appendText(path)
+			appendText(key)
+			appendText(node[key])
+			sum.Write(line)
 		}
 	}
 	return hex.EncodeToString(sum.Sum(nil))
@@ -214,14 +233,14 @@
 		faults = append(faults, validateNode(path, tr.Nodes[path])...)
 	}
 	for _, key := range keys {
-		if _, set := tr.Nodes[RootSection][key.Name]; !set && key.Highest < LevelKind {
+		if _, set := tr.Nodes[RootSection][key.Name]; !set && key.isRequired() {
 			faults = append(faults, fmt.Sprintf("[root] %s: not set, but the root must set every key", key.Name))
 		}
 	}
 	if len(faults) > 0 {
 		return faults
 	}
-	return tr.validateRoutes()
+	return append(tr.validateOrganisations(), tr.validateRoutes()...)
 }
 
 func (tr *Tree) applyEdit(edit Edit) {
