--- a/core/settings/doc.go
+++ b/core/settings/doc.go
@@ -14,6 +14,14 @@
 //	res := settings.NewResolver(tree)
 //	policy := res.Policy(settings.Path{Firm: "quillota", Place: "cl-centro", Service: "corte", Kind: "cutOrder"})
 //
+// A firm whose node sets keys such as keyDigests or quotaRate is an organisation. The
+// Resolver's index finds it by a key:
+//
+//	org := res.Organisations().ByKey(key)
+//
+// Secret keys of the tree stay on the keepers: all other processes, and operators, get
+// what Tree.Public and Change.Public return. Digests of trees don't cover secret keys.
+//
 // Store applies changes to a tree and keeps their history. A change has an id
 // and the version that it was made against, and is applied as a whole or not at
 // all.
