feat(cactusd): quotas over links, and their place in the daemon

cactusd/internal/quota serves and calls quota.take, follows the member table, and logs and counts the verdicts. A daemon that has started asks another one for its member set before it holds quotas, since its own table lacks the dead daemons.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"cactusstream.example/cactusd/internal/follower"
 	"cactusstream.example/cactusd/internal/gate"
 	"cactusstream.example/cactusd/internal/ingress"
+	"cactusstream.example/cactusd/internal/quota"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/auth"
 	"cactusstream.example/core/bodybuffer"
@@ -71,6 +72,10 @@
 	// maxInheritAge is how long after its start a daemon that gets no response from
 	// the fleet rejects the announcements of upstreams that it doesn't know.
 	maxInheritAge = 5 * time.Second
+	// loneStart is how long after its start a daemon that reaches a keeper, but no seed,
+	// takes the fleet for known. All its seeds may have stopped for good; if it is cut
+	// off together with a keeper, it holds too much of the quotas.
+	loneStart = time.Minute
 )
 
 // withdrawMargins are the times before the deadline of a shutdown at which
@@ -122,6 +127,7 @@
 	claims   *claims.Claims
 	ingress  *ingress.Ingress
 	follower *follower.Follower
+	quota    *quota.Quota
 
 	callers   *process.Server
 	peers     *process.Server
@@ -149,6 +155,11 @@
 	}
 	bodies := bodybuffer.New(maxBodyMemory)
 	da.gate = gate.New(gate.Options{Bodies: bodies, Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, Inherited: da.inheritedDepartures, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
+	da.quota = quota.New(quota.Options{
+		Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Mux: mux, Pool: da.pool, Self: opts.Config.ID, Zone: opts.Config.Zone,
+		View: da.fleet.View, HasJoined: da.knowsFleet, SettingsVersion: func() uint64 { return da.replica.Current().Version },
+		RandomSeed: uint64(da.started.UnixNano()),
+	})
 	ingressOpts := ingress.Options{
 		Bodies: bodies,
 		Clock:  opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
@@ -286,6 +297,11 @@
 	return keeperAddresses(da.fleet.View(), da.opts.Config.Zone, append(slices.Clone(da.opts.Keepers), da.opts.Seeds()...), da.started.UnixNano())
 }
 
+// knowsFleet reports whether other processes have told this daemon about the fleet.
+func (da *Daemon) knowsFleet() bool {
+	return da.fleet.HasJoined() || da.opts.Clock.Now().Sub(da.started) > loneStart && da.follower.IsConfirmed()
+}
+
 // publishUpstreams updates this daemon's upstreams in the member table.
 func (da *Daemon) publishUpstreams() {
 	da.fleet.SetUpstreams(da.gate.Records(), da.gate.Departed())
@@ -326,6 +342,7 @@
 		if da.gate.Tick() {
 			da.publishUpstreams()
 		}
+		da.quota.Tick()
 		if time.Since(lastRemoval) > removeDepartedInterval {
 			lastRemoval = time.Now()
 			da.ingress.RemoveDeparted()
@@ -367,6 +384,7 @@
 		"gate":      da.gate.Dump(),
 		"ingress":   da.ingress.Dump(),
 		"links":     da.pool.Statuses(),
+		"quota":     da.quota.Dump(),
 		"upstreams": da.fleet.View().Pools,
 	}
 	if da.claims != nil {
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -58,6 +58,8 @@
 	HolderReady        = define(401, "holderReady", logrus.InfoLevel, "A claim holder now votes on keys that were created after its start.")
 	RequestEnded       = define(402, "requestEnded", logrus.InfoLevel, "A request was answered with the response of an upstream.")
 	AttemptEnded       = define(403, "attemptEnded", logrus.InfoLevel, "An attempt at an upstream ended, or the gate of the upstream rejected it.")
+	QuotaRefused       = define(423, "quotaRefused", logrus.InfoLevel, "Requests of an organisation were refused over its quota, or while no holder of it was reachable; the fields count the verdicts since the last line.")
+	QuotaMembers       = define(424, "quotaMembers", logrus.InfoLevel, "The set of daemons among which quotas are divided changed.")
 	KeeperLeader       = define(500, "keeperLeader", logrus.InfoLevel, "This keeper became the leader.")
 	KeeperFollower     = define(501, "keeperFollower", logrus.InfoLevel, "This keeper follows a leader or is looking for one.")
 	KeeperDiskFailed   = define(502, "keeperDiskFailed", logrus.ErrorLevel, "The disk of the keeper failed; the keeper acknowledges no further entries.")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -145,6 +145,17 @@
 	return fl.KnownInherited(), nil
 }
 
+// HasJoined reports whether another process has told this daemon about the fleet, or
+// there is no seed to ask.
+func (fl *Fleet) HasJoined() bool {
+	select {
+	case <-fl.synced:
+		return true
+	default:
+		return len(fl.otherSeeds()) == 0
+	}
+}
+
 // KnownInherited is like Inherited, but does not wait.
 func (fl *Fleet) KnownInherited() []member.Departure {
 	fl.mu.Lock()
--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -213,7 +213,7 @@
 	org, own := req.org, as.roster.byID[as.roster.self]
 	var best *peer
 	var bestRank float64
-	earliest, reachable := req.ownRetry, len(org.holders) == 1 && org.holders[0] == own
+	earliest, reachable := req.ownRetry, len(org.holders) == 1 && org.holders[0] == own && as.holder.holds(now)
 	if earliest == 0 {
 		earliest = retryElsewhere
 	}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -62,6 +62,7 @@
 	// holdsFrom is when the daemon began to hold quotas: zero until it has joined the
 	// fleet.
 	holdsFrom time.Time
+	left      bool
 	sweptAt   time.Time
 }
 
@@ -89,11 +90,16 @@
 	return ans, true
 }
 
+// holds reports whether the daemon holds quotas: it has joined the fleet, and not left.
+func (ho *holder) holds(now time.Time) bool {
+	return !ho.left && !ho.holdsFrom.IsZero() && !now.Before(ho.holdsFrom)
+}
+
 // bucket returns the bucket of an organisation with its present limit and share, or
 // nil if this daemon is not a holder. The limit of the newest settings wins,
 // whichever daemon knows them.
 func (ho *holder) bucket(now time.Time, ask Ask) *bucket {
-	if ho.holdsFrom.IsZero() || now.Before(ho.holdsFrom) {
+	if !ho.holds(now) {
 		return nil
 	}
 	ho.sweep(now)
--- a/core/quota/members.go
+++ b/core/quota/members.go
@@ -79,6 +79,7 @@
 	for _, mem := range members {
 		pe := ro.byID[mem.ID]
 		switch {
+		case mem.ID == ro.self:
 		case mem.Left:
 			if pe != nil {
 				ro.remove(now, pe)
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -24,11 +24,18 @@
 	return &Node{roster: ro, holder: ho, asker: newAsker(ro, ho, seed)}
 }
 
-// SetMembers merges the daemons of the member table.
+// SetMembers merges the daemons of the member table. A daemon that has left itself
+// holds nothing any more.
 func (no *Node) SetMembers(now time.Time, members []Member) {
 	no.roster.update(now, members)
+	for _, mem := range members {
+		no.holder.left = no.holder.left || mem.Left && mem.ID == no.roster.self
+	}
 }
 
+// IsIdle reports whether the daemon knows no organisation with a limit.
+func (no *Node) IsIdle() bool { return len(no.asker.orgs) == 0 && len(no.holder.buckets) == 0 }
+
 // Past returns the member set, for Merge on a daemon that has just started.
 func (no *Node) Past(now time.Time) []Past { return no.roster.past(now) }
 
@@ -109,15 +116,15 @@
 	Refused       uint64  `json:"refused"`
 }
 
-// Members returns the number of daemons among which quotas are divided, and how many
-// of them are alive.
-func (no *Node) Members() (all, alive int) {
+// Members returns the number of daemons among which quotas are divided, how many of
+// them are alive, and the version of the set.
+func (no *Node) Members() (all, alive int, version uint64) {
 	for _, pe := range no.roster.peers {
 		if pe.Alive {
 			alive++
 		}
 	}
-	return len(no.roster.peers), alive
+	return len(no.roster.peers), alive, no.roster.version
 }
 
 // Uses returns the use of the organisations that this daemon knows, sorted by name,
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -227,3 +227,23 @@
 		is.True(float64(most(fl.starts)) <= bound(high))
 	}
 }
+
+// TestReturnedTokenIsUsedAgain guards against quota that is lost with requests that
+// don't run.
+func TestReturnedTokenIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	node := NewNode("d0", "z0", 1)
+	node.Join(now)
+	now = now.Add(time.Hour)
+	take := func() Outcome {
+		_, res := node.Take(now, Ask{Organisation: organisationName, PerSecond: 5, Burst: 5})
+		return res.Decisions[0].Verdict.Outcome
+	}
+	for take() == Admitted {
+		continue
+	}
+	node.Return(now, organisationName)
+	is.Equal(take(), Admitted)
+	is.Equal(take(), OverLimit)
+}
