feat(placement): a crossing of zones must save a wait that grows with its bytes

Ruled out: sizes in the gates' estimates (the ingress sees every answer), and kinds that never leave their zone (a zone without working upstreams would serve none). The own zone is asked twice before others, a crossing needs time to spare, and trial requests of large bodies mostly stay in their zone.

--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -105,10 +105,12 @@
 		share = topRankTrialShare
 	}
 	maySendToSuspected := in.maySendTrial(req)
+	skipsOtherZones := in.zoneByteCost(req, pool.Endpoints) > 0 && rand.Float64() >= costlyTrialShare
 	first := rand.IntN(max(len(pool.Endpoints), 1))
 	for i := range pool.Endpoints {
 		endpoint := pool.Endpoints[(first+i)%len(pool.Endpoints)]
 		switch {
+		case skipsOtherZones && endpoint.Zone != in.opts.Zone:
 		case endpoint.State == fleet.StateTrial && rand.Float64() < share:
 			return endpoint, true
 		case !maySendToSuspected || endpoint.Suspect || !in.isUsable(req, endpoint):
--- a/cactusd/internal/ingress/estimate.go
+++ b/cactusd/internal/ingress/estimate.go
@@ -51,7 +51,7 @@
 // chooseByEstimate asks a sample of endpoints for wait estimates and selects the
 // best one.
 func (in *Ingress) chooseByEstimate(ctx context.Context, req *request, endpoints []fleet.Endpoint) selection {
-	policy := placement.Policy{Zone: in.opts.Zone, OwnZoneCount: req.poolPolicy.Quotes, OtherZoneCount: req.poolPolicy.Quotes, CrossZoneCost: req.poolPolicy.ZoneCost, Margin: maxTimeShare}
+	policy := in.placementPolicy(req, endpoints)
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		candidate := placement.Candidate{ID: endpoint.Key, Zone: endpoint.Zone}
@@ -60,15 +60,17 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	near, far := placement.Sample(rand.New(globalSource{}), candidates, policy)
-	if len(near)+len(far) == 1 {
-		return selection{choice: choice{endpoint: endpoints[append(near, far...)[0]]}, inTime: true}
+	rounds := placement.Rounds(rand.New(globalSource{}), candidates, policy)
+	if len(rounds) == 1 && len(rounds[0]) == 1 {
+		return selection{choice: choice{endpoint: endpoints[rounds[0][0]]}, inTime: true}
 	}
 	remaining := req.deadline.Sub(in.opts.Clock.Now())
 	asked := estimateRound{candidates: candidates}
-	asked.add(in.requestEstimates(ctx, req, endpoints, near))
-	if !placement.IsSettled(asked.estimates, remaining, policy) {
-		asked.add(in.requestEstimates(ctx, req, endpoints, far))
+	for _, round := range rounds {
+		if placement.IsSettled(asked.estimates, remaining, policy) {
+			break
+		}
+		asked.add(in.requestEstimates(ctx, req, endpoints, round))
 	}
 	if len(asked.suspected) > 0 && in.maySendTrial(req) && rand.Float64() < suspectedTrialShare {
 		return selection{choice: choice{endpoint: endpoints[asked.suspected[0]], trial: true}, inTime: true}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -35,6 +35,7 @@
 	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/placement"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/settingsync"
 	"cactusstream.example/core/throttle"
@@ -90,6 +91,7 @@
 	lastFailureAt atomic.Int64 // Unix nanoseconds of the last failure response.
 	budgets       sync.Map     // *budget.Budget by service.
 	throttles     sync.Map     // *throttle.Throttle by throttleKey.
+	sizes         placement.Sizes
 }
 
 // shutdown is the time span in which the daemon shuts down. Requests that still run at
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -14,14 +14,16 @@
 //
 // Usage:
 //
-//	near, far := placement.Sample(rng, candidates, policy)
-//	estimates := ask(near)
-//	if !placement.IsSettled(estimates, remaining, policy) { estimates = append(estimates, ask(far)...) }
+//	for _, round := range placement.Rounds(rng, candidates, policy) {
+//		if placement.IsSettled(estimates, remaining, policy) { break }
+//		estimates = append(estimates, ask(round)...)
+//	}
 //	dec := placement.Best(estimates, remaining, policy)
 package placement
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -59,6 +61,15 @@
 	// CrossZoneCost is added to the wait of candidates in other zones: traffic
 	// between zones costs money and adds latency.
 	CrossZoneCost time.Duration
+	// ByteCost is the part of the cost of a crossing that grows with the bytes of the
+	// request (see ByteCost). A candidate in another zone must have as much time to
+	// spare, up to half of what Margin leaves: when all zones are overloaded, a
+	// crossing only takes the place of a request of the other zone.
+	ByteCost time.Duration
+	// OwnZoneRounds is the number of times that OwnZoneCount candidates of the own
+	// zone are asked before those of other zones; 0 counts as 1. More rounds pay off
+	// if CrossZoneCost is high.
+	OwnZoneRounds int
 }
 
 // Decision is the choice for a request.
@@ -74,7 +85,7 @@
 func Best(estimates []Estimate, remaining time.Duration, policy Policy) Decision {
 	dec := Decision{At: -1}
 	for at, est := range estimates {
-		inTime := est.Wait+est.ExpectedDuration <= time.Duration(policy.Margin*float64(remaining))
+		inTime := est.Wait+est.ExpectedDuration <= policy.available(est, remaining)
 		switch {
 		case dec.At < 0, inTime && !dec.InTime:
 		case inTime != dec.InTime, policy.cost(est) >= policy.cost(estimates[dec.At]):
@@ -87,10 +98,10 @@
 
 // IsSettled reports whether candidates in other zones need not be asked because none
 // can beat the best estimate of the own zone: even without any wait they cost
-// CrossZoneCost.
+// CrossZoneCost and ByteCost.
 func IsSettled(estimates []Estimate, remaining time.Duration, policy Policy) bool {
 	dec := Best(estimates, remaining, policy)
-	return dec.InTime && policy.cost(estimates[dec.At]) <= policy.CrossZoneCost
+	return dec.InTime && policy.cost(estimates[dec.At]) <= policy.CrossZoneCost+policy.ByteCost
 }
 
 // Sample returns the indexes of random candidates to ask: those in the own zone, and
@@ -100,19 +111,43 @@
 	for _, at := range rng.Perm(len(candidates)) {
 		if candidates[at].Zone != policy.Zone {
 			far = append(far, at)
-		} else if len(near) < policy.OwnZoneCount {
+		} else if len(near) < policy.OwnZoneCount*max(policy.OwnZoneRounds, 1) {
 			near = append(near, at)
 		}
 	}
-	maxFar := policy.OtherZoneCount + policy.OwnZoneCount - len(near)
+	maxFar := policy.OtherZoneCount + max(policy.OwnZoneCount-len(near), 0)
 	return near, far[:min(maxFar, len(far))]
 }
 
+// Rounds returns a Sample in the order in which it is asked: OwnZoneCount candidates of
+// the own zone at a time, then the candidates of other zones. Once the estimates are
+// settled (IsSettled), the other rounds are not asked.
+func Rounds(rng *rand.Rand, candidates []Candidate, policy Policy) [][]int {
+	near, far := Sample(rng, candidates, policy)
+	var rounds [][]int
+	for round := range slices.Chunk(near, max(policy.OwnZoneCount, 1)) {
+		rounds = append(rounds, round)
+	}
+	if len(far) > 0 {
+		rounds = append(rounds, far)
+	}
+	return rounds
+}
+
 // cost returns the wait plus the penalties of the candidate and of its zone.
 func (po Policy) cost(est Estimate) time.Duration {
 	cost := est.Wait + est.Cost
 	if est.Zone != po.Zone {
-		cost += po.CrossZoneCost
+		cost += po.CrossZoneCost + po.ByteCost
 	}
 	return cost
 }
+
+// available returns the time that the wait and the request may take at a candidate.
+func (po Policy) available(est Estimate, remaining time.Duration) time.Duration {
+	available := time.Duration(po.Margin * float64(remaining))
+	if est.Zone != po.Zone {
+		available -= min(po.ByteCost, available/2)
+	}
+	return available
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -49,9 +49,13 @@
 		for at, est := range estimates {
 			cost := est.Wait + est.Cost
 			if est.Zone != policy.Zone {
-				cost += policy.CrossZoneCost
+				cost += policy.CrossZoneCost + policy.ByteCost
 			}
-			inTime := est.Wait+est.ExpectedDuration <= time.Duration(policy.Margin*float64(remaining))
+			available := time.Duration(policy.Margin * float64(remaining))
+			if est.Zone != policy.Zone {
+				available = max(available-policy.ByteCost, available-available/2)
+			}
+			inTime := est.Wait+est.ExpectedDuration <= available
 			if inTime == mustBeInTime && cost < lowest {
 				best, lowest = at, cost
 			}
@@ -71,7 +75,7 @@
 			est.Cost = time.Duration(rapid.IntRange(0, 20).Draw(rt, "cost"))
 			estimates = append(estimates, est)
 		}
-		policy := placement.Policy{Zone: "a", CrossZoneCost: 10, Margin: 0.5}
+		policy := placement.Policy{Zone: "a", CrossZoneCost: 10, ByteCost: time.Duration(rapid.IntRange(0, 60).Draw(rt, "byteCost")), Margin: 0.5}
 		remaining := time.Duration(rapid.IntRange(0, 150).Draw(rt, "remaining"))
 		if got, want := placement.Best(estimates, remaining, policy), bestByTwoPasses(estimates, remaining, policy); got != want {
 			rt.Fatalf("Best = %v, the reference implementation %v, of %v", got, want, estimates)
@@ -104,7 +108,7 @@
 // skips the other zones, no estimate of theirs would have changed the choice.
 func TestSettledEstimateIsNeverBeaten(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		policy := placement.Policy{Zone: "a", CrossZoneCost: 10, Margin: 0.75}
+		policy := placement.Policy{Zone: "a", CrossZoneCost: 10, ByteCost: time.Duration(rapid.IntRange(0, 20).Draw(rt, "byteCost")), Margin: 0.75}
 		remaining := time.Duration(rapid.IntRange(1, 100).Draw(rt, "remaining"))
 		draw := func(zone string) []placement.Estimate {
 			var estimates []placement.Estimate
--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -78,6 +78,7 @@
 	splitKey(),
 	durationKey("target", time.Millisecond, 24*time.Hour, "250ms", LevelKind, "Target latency of the kind.", func(po *Policy) *time.Duration { return &po.Target }),
 	intKey("trialSuccesses", "requests", 1, 1000, "5", LevelService, "Consecutive successful idempotent requests after which an ejected upstream is used again.", func(po *Policy) *int { return &po.TrialSuccesses }),
+	durationKey("zoneByteCost", 0, time.Minute, "0s", LevelService, "Wait that an endpoint in another availability zone must save for each kilobyte of a request and its answer beyond the first 8, in addition to zoneCost; 0 counts no bytes.", func(po *Policy) *time.Duration { return &po.ZoneByteCost }),
 	durationKey("zoneCost", 0, time.Minute, "100ms", LevelService, "Wait that an endpoint in another availability zone must save, by its wait estimate, to be chosen.", func(po *Policy) *time.Duration { return &po.ZoneCost }),
 	intKey("zoneSpillPercent", "percent", 0, 1000, "80", LevelService, "Load of the own availability zone from which requests go to other zones.", func(po *Policy) *int { return &po.ZoneSpillPercent }),
 }
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -45,6 +45,7 @@
 	RetryWindow      time.Duration
 	QueueLimit       int
 	Quotes           int
+	ZoneByteCost     time.Duration
 	ZoneCost         time.Duration
 	ZoneSpillPercent int
 	ClaimHolders     claim.Table
