feat(gate): costs of requests by class, and waits by the remaining work

Cause: a gate expected 1.2 times the median of a kind, and estimated waits from the number of requests, whatever their organisation, size or path, and however long the running ones had run. Ruled out: a table of all combinations (too few samples, unbounded), and short averages of each class (rare classes are always forgotten). Change: core/workcost learns the work of each class from the general to the specific, how fast the upstream works, and the distribution of durations; wait estimates use the remaining time of each running request. Gates use it only with the new setting costAware (off by default, not set on the platform) and quotes.

--- a/cactusd/internal/gate/estimate.go
+++ b/cactusd/internal/gate/estimate.go
@@ -4,6 +4,7 @@
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/rankqueue"
+	"cactusstream.example/core/workcost"
 )
 
 // EstimateWait estimates how long a request would be queued at an upstream, or
@@ -21,8 +22,8 @@
 	defer gu.mu.Unlock()
 	now := gu.opts.Clock.Now()
 	gu.adoptLimit(now, req.KnownLimit)
-	expected := gu.expectedTime(now, req.Kind)
-	item := &rankqueue.Item{Rank: req.Rank, Target: targetTime(now, req.TargetRemaining), ExpectedDuration: expected}
+	expected, work := gu.expectedCost(now, workcost.Class{Kind: req.Kind, Organisation: req.Firm, Size: req.SizeClass, Shape: req.PathShape})
+	item := &rankqueue.Item{Rank: req.Rank, Target: targetTime(now, req.TargetRemaining), ExpectedDuration: expected, Work: work}
 	ans := wire.WaitEstimate{Wait: gu.queue.EstimateWait(now, item), ExpectedDuration: expected, Load: gu.load(now)}
 	switch {
 	case gu.leaving:
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -37,6 +37,7 @@
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/rankqueue"
 	"cactusstream.example/core/settings"
+	"cactusstream.example/core/workcost"
 )
 
 // Lease is how long an upstream stays registered after its last announcement or
@@ -87,6 +88,8 @@
 type Gate struct {
 	opts     Options
 	departed *departures
+	// allowance bounds what all guards learn about the costs of requests.
+	allowance *workcost.Allowance
 
 	mu       sync.Mutex
 	stopping bool
@@ -107,7 +110,7 @@
 
 // New returns a Gate without upstreams.
 func New(opts Options) *Gate {
-	return &Gate{opts: opts, departed: &departures{}, guards: make(map[string]*guard)}
+	return &Gate{opts: opts, departed: &departures{}, allowance: workcost.NewAllowance(workcost.NodesPerDaemon), guards: make(map[string]*guard)}
 }
 
 // concurrency returns the maximum number of concurrent requests to the
@@ -310,10 +313,11 @@
 	}
 	if gu != nil && ann.StartedAt.After(gu.ann.StartedAt) && !gu.ann.StartedAt.IsZero() {
 		gu.depart("restarted")
+		gu.forgetWork()
 		gu = nil
 	}
 	if gu == nil {
-		ga.guards[ann.ID] = newGuard(ann, ga.opts, ga.departed)
+		ga.guards[ann.ID] = newGuard(ann, ga.opts, ga.departed, ga.allowance)
 		return true, nil
 	}
 	if ann.StartedAt.Before(gu.ann.StartedAt) {
@@ -342,6 +346,7 @@
 // instance has taken its id.
 func (ga *Gate) remove(gu *guard) {
 	gu.client.pool.close()
+	gu.forgetWork()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.guards[gu.ann.ID] == gu {
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -16,6 +16,7 @@
 	"cactusstream.example/core/member"
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/rankqueue"
+	"cactusstream.example/core/workcost"
 )
 
 const (
@@ -27,10 +28,6 @@
 	// maxTrackedKinds is the number of request kinds whose latencies are kept.
 	// When it is reached, all latencies are discarded.
 	maxTrackedKinds = 256
-	// expectedTimeFactor times the median latency of its kind is the time that
-	// a request must have left to get a slot. Most requests finish within it,
-	// so few slots are spent on requests that miss their deadline.
-	expectedTimeFactor = 1.2
 )
 
 // guard controls the requests to one upstream. It holds the upstream's slots
@@ -71,12 +68,13 @@
 	// suspected and lastState are the values that were logged last.
 	suspected bool
 	lastState health.State
+	work      *workload
 }
 
-func newGuard(ann Announcement, opts Options, departed *departures) *guard {
+func newGuard(ann Announcement, opts Options, departed *departures, allowance *workcost.Allowance) *guard {
 	policy := opts.Policy(ann.Service)
 	now := opts.Clock.Now()
-	return &guard{
+	gu := &guard{
 		ann:         ann,
 		opts:        opts,
 		departed:    departed,
@@ -90,7 +88,10 @@
 		renewedAt:   now,
 		sequence:    ann.Sequence,
 		limit:       noLimit,
+		work:        newWorkload(allowance),
 	}
+	gu.configureWork(policy)
+	return gu
 }
 
 // matches reports whether an announcement describes the registered upstream.
@@ -144,6 +145,7 @@
 	gu.detector.SetPolicy(healthPolicy(policy))
 	gu.burstFilter.SetPolicy(burstPolicy(policy))
 	gu.queue.SetPolicy(queuePolicy(policy))
+	gu.configureWork(policy)
 	warmed := !gu.warmAt.IsZero() && !now.Before(gu.warmAt)
 	if warmed {
 		gu.warmAt = time.Time{}
@@ -221,28 +223,31 @@
 	arrived := gu.opts.Clock.Now()
 	if rejection, rejected := gu.admit(ctx, req); rejected {
 		rejection = gu.withLoad(req.Kind, rejection)
-		gu.logAttempt(req, rejection, arrived, gu.opts.Clock.Now())
+		gu.logAttempt(req, rejection, arrived, gu.opts.Clock.Now(), nil)
 		return rejection
 	}
 	started := gu.opts.Clock.Now()
+	work := gu.beginWork(started, req)
 	monitor := gu.monitorSlow(req)
 	answer, res := gu.client.send(ctx, req)
 	slow := monitor.stop()
-	gu.complete(req, started, health.Result{Failed: res.failed, Slow: slow, Idempotent: req.Idempotent}, res)
+	gu.complete(req, started, work, health.Result{Failed: res.failed, Slow: slow, Idempotent: req.Idempotent}, res)
 	answer = gu.withLoad(req.Kind, answer)
-	gu.logAttempt(req, answer, arrived, started)
+	gu.logAttempt(req, answer, arrived, started, work)
 	return answer
 }
 
 // logAttempt logs the result of an attempt and the load of the upstream.
-func (gu *guard) logAttempt(req wire.RunRequest, answer wire.RunAnswer, arrived, started time.Time) {
+func (gu *guard) logAttempt(req wire.RunRequest, answer wire.RunAnswer, arrived, started time.Time, work *runningWork) {
 	now := gu.opts.Clock.Now()
-	gu.opts.Log.Write(events.AttemptEnded, logrus.Fields{
+	fields := logrus.Fields{
 		"request": req.Request, "upstream": gu.ann.ID, "service": req.Service, "kind": req.Kind, "rank": req.Rank, "idempotent": req.Idempotent,
 		"trial": req.Trial, "outcome": answer.Outcome, "reason": answer.Reason, "status": answer.Status, "detail": answer.Detail,
 		"waitedMillis": started.Sub(arrived).Milliseconds(), "tookMillis": now.Sub(started).Milliseconds(),
 		"remainingMillis": req.Remaining.Milliseconds(), "running": answer.Load.Running, "waiting": answer.Load.Queued,
-	})
+	}
+	work.addFields(fields, now.Sub(started))
+	gu.opts.Log.Write(events.AttemptEnded, fields)
 }
 
 // admit waits for a slot and reports whether the request was rejected instead.
@@ -262,7 +267,7 @@
 		gu.mu.Unlock()
 		return rejection, true
 	}
-	item.ExpectedDuration = gu.expectedTime(now, req.Kind)
+	item.ExpectedDuration, item.Work = gu.expectedCost(now, classOf(req))
 	dec := gu.queue.Add(now, item)
 	gu.scheduleStart(now)
 	gu.mu.Unlock()
@@ -368,14 +373,8 @@
 	return now.Add(left)
 }
 
-// expectedTime returns how long a request of a kind is expected to take at the
-// upstream. The caller holds the lock.
-func (gu *guard) expectedTime(now time.Time, kind string) time.Duration {
-	return time.Duration(expectedTimeFactor * float64(gu.latency(kind).Expected(now)))
-}
-
 // complete records the result of a request and frees its slot.
-func (gu *guard) complete(req wire.RunRequest, started time.Time, res health.Result, sent sendResult) {
+func (gu *guard) complete(req wire.RunRequest, started time.Time, work *runningWork, res health.Result, sent sendResult) {
 	gu.mu.Lock()
 	now := gu.opts.Clock.Now()
 	took := now.Sub(started)
@@ -390,6 +389,7 @@
 	if sent.failed || sent.rejected || sent.cancelled {
 		held = 0 // Not counted in the averages behind the wait estimates.
 	}
+	gu.endWork(now, work, held > 0) // Before the slot goes to a queued request.
 	gu.queue.Release(now, req.Rank, held)
 	gu.scheduleStart(now)
 	if !sent.rejected && !sent.cancelled {
--- a/cactusd/internal/ingress/estimate.go
+++ b/cactusd/internal/ingress/estimate.go
@@ -124,6 +124,9 @@
 	for _, index := range sample {
 		go func() {
 			estimateReq := wire.WaitEstimateRequest{Upstream: endpoints[index].Upstream.ID, Kind: req.path.Kind, Rank: req.policy.Rank, Idempotent: req.policy.Idempotent, TargetRemaining: req.remainingTarget(in.opts.Clock.Now()), Retry: req.isRetry(), AfterTrial: req.afterTrial, KnownLimit: in.tracker.limit(endpoints[index].Key)}
+			if req.poolPolicy.CostAware {
+				estimateReq.Firm, estimateReq.CostClass = req.runRequest.Firm, req.runRequest.CostClass
+			}
 			answer, err := in.opts.Runner.EstimateWait(ctx, endpoints[index], estimateReq)
 			in.recordEstimate(endpoints[index], answer, err)
 			answers <- estimate{index: index, answer: answer, err: err}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -273,7 +273,7 @@
 	req.runRequest = wire.RunRequest{
 		Request: req.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: req.policy.Rank, Idempotent: req.policy.Idempotent,
 		Method: httpReq.Method, Host: httpReq.Host, URI: httpReq.URL.RequestURI(), Header: in.forwardHeader(httpReq.Header, req.policy.Internal), Body: body,
-		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target,
+		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target, CostClass: req.costClass(httpReq.URL.Path, len(body)),
 	}
 	return req, nil
 }
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -53,6 +53,18 @@
 	AfterTrial      bool          `codec:"g,omitempty"`
 	// KnownLimit is as in RunRequest.
 	KnownLimit float64 `codec:"v,omitempty"`
+	// Firm and the fields of CostClass are as in RunRequest. They are set only if the
+	// settings of the service say that its gates use them.
+	Firm string `codec:"f,omitempty"`
+	CostClass
+}
+
+// CostClass holds what an ingress knows about the cost of a request, in addition to its
+// kind and firm: the size class of its body and the shape of its path, as package
+// workcost defines them.
+type CostClass struct {
+	SizeClass uint8  `codec:"ws,omitempty"`
+	PathShape uint32 `codec:"wp,omitempty"`
 }
 
 // WaitEstimate is the expected time in the queue for a slot (Wait) and the usual
@@ -106,6 +118,7 @@
 	TargetRemaining time.Duration   `codec:"c,omitempty"`
 	Target          time.Duration   `codec:"t"`
 	Baseline        health.Baseline `codec:"e"`
+	CostClass
 }
 
 // Load is the current load of an upstream, as reported by its own gate.
--- a/core/rankqueue/rankqueue.go
+++ b/core/rankqueue/rankqueue.go
@@ -67,6 +67,9 @@
 	// unknown. With less time than that before its deadline, the request is
 	// rejected, as it would only waste its slot.
 	ExpectedDuration time.Duration
+	// Work is how long the item is expected to hold its slot, for the wait estimates of
+	// others, or 0 for the average of its rank.
+	Work time.Duration
 	// LastResort says that there is no better upstream left for the request.
 	LastResort bool
 	// AttemptID is the ID by which the request can be withdrawn.
@@ -87,6 +90,8 @@
 	ranks [RankCount]rankState
 	// serviceTime is the moving average of the time that a request holds a slot.
 	serviceTime time.Duration
+	// rests is set by SetRests.
+	rests func(now time.Time) []time.Duration
 }
 
 // rankState is the queue of a rank, with the state of its scheduling.
--- a/core/rankqueue/wait.go
+++ b/core/rankqueue/wait.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"cactusstream.example/core/workcost"
 )
 
 const (
@@ -111,10 +113,10 @@
 	ahead, urgent := qu.urgentLoad(now, rank, serviceTime)
 	own := &qu.ranks[rank]
 	onTime := own.waiting - len(own.late)
-	ahead += time.Duration(onTime+1) * own.averageServiceTime(serviceTime)
-	wait := qu.drainTime(ahead, urgent, minSlotShare)
+	work, typical := own.onTimeWork(serviceTime), own.averageServiceTime(serviceTime)
+	wait := qu.drainTime(now, ahead+work, typical, urgent, minSlotShare)
 	if share := float64(qu.policy.Share[rank]*qu.slots) / 100; share > 0 {
-		wait = min(wait, time.Duration(float64(onTime+1)/share*float64(own.averageServiceTime(serviceTime))))
+		wait = min(wait, time.Duration(float64(work+typical)/share))
 	}
 	return max(wait, qu.limitWait(now, rank, onTime))
 }
@@ -124,9 +126,10 @@
 func (qu *Queue) waitLate(now time.Time, rank int, serviceTime time.Duration) time.Duration {
 	ahead, urgent := qu.urgentLoad(now, rank, serviceTime)
 	own := &qu.ranks[rank]
-	ahead += time.Duration(own.waiting+1) * own.averageServiceTime(serviceTime)
+	ahead += own.onTimeWork(serviceTime) + own.lateWork(serviceTime)
 	minShare := minLateSlotShare - (minLateSlotShare-minSlotShare)*own.lateLoss.value(now)
-	return max(qu.drainTime(ahead, urgent+own.onTimeDemand.value(now), minShare), qu.limitWait(now, rank, own.waiting))
+	wait := qu.drainTime(now, ahead, own.averageServiceTime(serviceTime), urgent+own.onTimeDemand.value(now), minShare)
+	return max(wait, qu.limitWait(now, rank, own.waiting))
 }
 
 // limitWait estimates how long the limit makes an item of a rank wait that has the given
@@ -156,23 +159,31 @@
 func (qu *Queue) urgentLoad(now time.Time, rank int, serviceTime time.Duration) (ahead time.Duration, urgent float64) {
 	for i := range rank {
 		state := &qu.ranks[i]
-		ahead += time.Duration(state.waiting) * state.averageServiceTime(serviceTime)
+		ahead += state.onTimeWork(serviceTime) + state.lateWork(serviceTime)
 		urgent += state.totalDemand.value(now)
 	}
 	return ahead, urgent
 }
 
-// drainTime returns how long the slot time ahead takes on the slots that urgent demand
-// leaves, which are taken to be at least minShare of all.
-func (qu *Queue) drainTime(ahead time.Duration, urgent, minShare float64) time.Duration {
+// drainTime returns how long a request of typical slot time waits for the slot time ahead
+// on the slots that urgent demand leaves, which are taken to be at least minShare of all.
+func (qu *Queue) drainTime(now time.Time, ahead, typical time.Duration, urgent, minShare float64) time.Duration {
 	slots := float64(max(qu.slots, 1))
-	return time.Duration(float64(ahead) / max(slots-urgent, minShare*slots))
+	left := max(slots-urgent, minShare*slots)
+	if qu.rests != nil && qu.running >= qu.slots {
+		rests := qu.rests(now)
+		for len(rests) < qu.slots {
+			rests = append(rests, typical) // Of an item that has just got its slot.
+		}
+		return time.Duration(float64(workcost.Wait(rests, ahead, typical)) * slots / left)
+	}
+	return time.Duration(float64(ahead+typical) / left)
 }
 
 // recordDemand adds an admitted item to the demand of its rank.
 func (qu *Queue) recordDemand(now time.Time, item *Item, isOnTime bool) {
 	rank := &qu.ranks[item.Rank]
-	need := rank.averageServiceTime(qu.serviceTime)
+	need := item.slotTime(rank.averageServiceTime(qu.serviceTime))
 	rank.totalDemand.add(now, need)
 	rank.starts.add(now, time.Second)
 	if isOnTime {
--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -47,6 +47,7 @@
 	durationKey("calmLength", time.Second, 24*time.Hour, "20s", LevelService, "Mean time between two failure bursts of an upstream.", func(po *Policy) *time.Duration { return &po.CalmLength }),
 	claimHoldersKey(),
 	intKey("coldPercent", "percent", 0, 100, "0", LevelService, "Share of its slots that an upstream uses while it reports that it is cold; 0 sends it no requests.", func(po *Policy) *int { return &po.ColdPercent }),
+	costAwareKey(),
 	durationKey("deadline", time.Millisecond, 24*time.Hour, "5s", LevelKind, "Longest time that a request may take, including queueing and all attempts.", func(po *Policy) *time.Duration { return &po.Deadline }),
 	intKey("doubtPercent", "percent", 0, 100, "0", LevelService, "Probability of a failure burst from which an upstream gets no non-idempotent requests; 0 switches this off.", func(po *Policy) *int { return &po.DoubtPercent }),
 	durationKey("ejectBase", 100*time.Millisecond, time.Hour, "10s", LevelService, "First ejection duration of an upstream; doubles when the upstream flaps.", func(po *Policy) *time.Duration { return &po.EjectBase }),
@@ -139,6 +140,12 @@
 	}}
 }
 
+func costAwareKey() Key {
+	ke := boolKey("costAware", "false", "Whether gates that give wait estimates expect the duration of a request by its kind, organisation, size and path, and the wait by the remaining work, instead of the median of the kind and the number of requests.", func(po *Policy) *bool { return &po.CostAware })
+	ke.Lowest = LevelService
+	return ke
+}
+
 func claimHoldersKey() Key {
 	return Key{Name: KeyClaimHolders, Unit: "table", Range: "empty, or EPOCH GROUP... [former GROUP...], a group being three daemon ids, as 2 d1,d2,d3 former d1,d2,d4", Default: "", Highest: LevelFirm, Lowest: LevelRoot, Text: "Daemons that hold the claims of non-idempotent requests; `cactusctl claims assign` sets it.", parse: func(po *Policy, value string) error {
 		table, err := claim.ParseTable(value)
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -23,6 +23,7 @@
 	ColdPercent      int
 	BoutLength       time.Duration
 	CalmLength       time.Duration
+	CostAware        bool
 	DoubtPercent     int
 	Idempotent       bool
 	Internal         bool
