fix(gate): a request on a connection that the upstream had closed is not run

Cause: the end of a reused connection that arrived between the check and the write made the outcome unknown, though the upstream read nothing. Ruled out: another check before the write (the gap gets smaller, not empty); resets alone (the acknowledgement of what was read may be outstanding). Change: if a connection ends without a response, the kernel has acknowledged nothing of the request and the upstream's side answers with a reset, the attempt is proven not to have run, and is sent once more on a new connection. So is a large request of which no byte could be written.

--- a/cactusd/internal/gate/connection.go
+++ b/cactusd/internal/gate/connection.go
@@ -157,9 +157,11 @@
 	// still have.
 	parsing bool
 	left    int
+	// isEmpty is set until a byte is read after begin.
+	isEmpty bool
 }
 
-func (he *headLimit) begin() { he.parsing, he.left = true, maxHeadBytes }
+func (he *headLimit) begin() { he.parsing, he.left, he.isEmpty = true, maxHeadBytes, true }
 
 func (he *headLimit) end() { he.parsing = false }
 
@@ -173,6 +175,7 @@
 	}
 	count, err := he.source.Read(data[:min(len(data), he.left)])
 	he.left -= count
+	he.isEmpty = he.isEmpty && count == 0
 	return count, err
 }
 
--- /dev/null
+++ b/cactusd/internal/gate/unread_linux.go
@@ -0,0 +1,60 @@
+package gate
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// resetTimeout is how long to wait for the reset of a connection that the upstream
+	// has closed. It runs on the same VM and answers within microseconds.
+	resetTimeout = 20 * time.Millisecond
+	// resetPollInterval is how often the connection is looked at meanwhile.
+	resetPollInterval = time.Millisecond
+	// tcpClose is the state of a connection after a reset, TCP_CLOSE in the kernel.
+	tcpClose = 7
+)
+
+// ackedBytes returns how many bytes the upstream's side has acknowledged, and whether the
+// connection was reset. It returns false if that can't be told.
+func (co *connection) ackedBytes() (acked uint64, isReset, ok bool) {
+	raw, isRaw := co.Conn.(syscall.Conn)
+	if !isRaw {
+		return 0, false, false
+	}
+	sys, err := raw.SyscallConn()
+	if err != nil {
+		return 0, false, false
+	}
+	err = sys.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		acked, isReset, ok = info.Bytes_acked, info.State == tcpClose, true
+	})
+	return acked, isReset, ok && err == nil
+}
+
+// isUnread reports whether the upstream had closed the connection before it received a
+// byte of the request, which was written after ackedBefore bytes were acknowledged. The
+// caller has read the end of the connection instead of a response.
+//
+// The segment that ends a connection acknowledges what arrived before it, so the request
+// arrived later. If the upstream has only ended its own direction, its side accepts the
+// request and may read it; otherwise it answers with a reset.
+func (co *connection) isUnread(ackedBefore uint64) bool {
+	for waited := time.Duration(0); waited < resetTimeout; waited += resetPollInterval {
+		acked, isReset, ok := co.ackedBytes()
+		if !ok || acked != ackedBefore {
+			return false
+		}
+		if isReset {
+			return true
+		}
+		time.Sleep(resetPollInterval)
+	}
+	return false
+}
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -90,11 +90,43 @@
 	attempt := hreq.Header.Get(up.dialect.Attempt)
 	con, err := up.connect(ctx, attempt, maxIdleTime)
 	if err != nil {
-		cancelled := errors.Is(ctx.Err(), context.Canceled)
-		return wire.NotRun(outcome.UpstreamFailed, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled, unreachable: !cancelled}
+		return unreachableAnswer(ctx, err)
 	}
-	exc := &exchange{client: up, con: con, req: req, hreq: hreq, attempt: attempt}
-	return exc.run(ctx)
+	return up.sendOn(ctx, con, req)
+}
+
+// sendOn sends an attempt on a connection. If the upstream turns out to have closed a
+// reused connection before it read any of the request, it is sent on a new one.
+func (up *upstreamClient) sendOn(ctx context.Context, con *connection, req wire.RunRequest) (wire.RunAnswer, sendResult) {
+	answer, res, unread := up.exchangeOn(ctx, con, req)
+	if !unread || !con.isReused || ctx.Err() != nil {
+		return answer, res
+	}
+	con, err := up.pool.dial(ctx)
+	if err != nil {
+		return unreachableAnswer(ctx, err)
+	}
+	answer, res, _ = up.exchangeOn(ctx, con, req)
+	return answer, res
+}
+
+// exchangeOn performs one exchange on a connection. unread means that the upstream read
+// nothing of the request.
+func (up *upstreamClient) exchangeOn(ctx context.Context, con *connection, req wire.RunRequest) (answer wire.RunAnswer, res sendResult, unread bool) {
+	hreq, err := up.newRequest(req)
+	if err != nil {
+		_ = con.Close()
+		return wire.NotRun(outcome.BadRequest, err.Error()), sendResult{cancelled: true}, false
+	}
+	exc := &exchange{client: up, con: con, req: req, hreq: hreq, attempt: hreq.Header.Get(up.dialect.Attempt)}
+	answer, res = exc.run(ctx)
+	return answer, res, exc.unread
+}
+
+// unreachableAnswer returns the answer to an attempt for which there is no connection.
+func unreachableAnswer(ctx context.Context, err error) (wire.RunAnswer, sendResult) {
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
+	return wire.NotRun(outcome.UpstreamFailed, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled, unreachable: !cancelled}
 }
 
 // connect returns a connection for a request, a new one if the upstream has lately left
@@ -158,6 +190,8 @@
 	reusable bool
 	// sawStale reports that a response to a different request was skipped.
 	sawStale bool
+	// unread reports that the upstream read nothing of the request.
+	unread bool
 }
 
 // run performs the exchange and then closes the connection or returns it to the
@@ -174,32 +208,45 @@
 	return answer, res
 }
 
+// writeResult is the result of writing a request: the bytes that were written to the
+// socket, and the error.
+type writeResult struct {
+	sent int
+	err  error
+}
+
 // roundTrip sends the request and reads the response.
 func (ex *exchange) roundTrip(ctx context.Context) (wire.RunAnswer, sendResult) {
 	var buf bytes.Buffer
 	if err := ex.hreq.Write(&buf); err != nil {
 		return wire.NotRun(outcome.BadRequest, err.Error()), sendResult{cancelled: true}
 	}
-	wrote := make(chan error, 1)
+	wrote := make(chan writeResult, 1)
+	ackedBefore, _, _ := ex.con.ackedBytes()
 	if buf.Len() <= maxSyncWrite {
 		if sent, err := ex.con.Write(buf.Bytes()); err != nil && sent == 0 {
 			return ex.notRunAnswer(ctx, err)
 		}
 		// A partial write shows up as an error or a missing response.
-		wrote <- nil
+		wrote <- writeResult{sent: buf.Len()}
 	} else {
 		go func() {
-			_, err := ex.con.Write(buf.Bytes())
-			wrote <- err
+			sent, err := ex.con.Write(buf.Bytes())
+			wrote <- writeResult{sent, err}
 		}()
 	}
 	resp, body, err := ex.readResponse() //nolint:bodyclose // readResponse reads and closes the body.
 	if err != nil {
+		isUnread := ex.con.head.isEmpty && errors.Is(err, io.ErrUnexpectedEOF) && ex.con.isUnread(ackedBefore)
+		_ = ex.con.SetWriteDeadline(time.Unix(1, 0)) // Ends a write in progress.
+		if written := <-wrote; isUnread || written.sent == 0 {
+			return ex.notRunAnswer(ctx, err)
+		}
 		return ex.unknownAnswer(ctx, err)
 	}
 	select {
-	case err := <-wrote:
-		ex.reusable = ex.reusable && err == nil
+	case written := <-wrote:
+		ex.reusable = ex.reusable && written.err == nil
 	default:
 		ex.reusable = false // The upstream would parse the rest of the body as the next request.
 	}
@@ -282,9 +329,9 @@
 	return wire.Unknown(reason, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled}
 }
 
-// notRunAnswer returns the answer to an attempt of which no byte was written to
-// the socket.
+// notRunAnswer returns the answer to an attempt of which the upstream read nothing.
 func (ex *exchange) notRunAnswer(ctx context.Context, err error) (wire.RunAnswer, sendResult) {
+	ex.unread = true
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	return wire.NotRun(outcome.UpstreamFailed, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled}
 }
