fix(ingress,gate): requests that no upstream got are answered as not run in time

Cause: a queued request was rejected 5 ms before its deadline, so on a busy VM the ingress gave up first and answered 504; errors of a peer that precede the gate counted as a lost link; trial requests, which no estimate precedes, went to daemons that don't answer. Change: gates that give wait estimates reject a queued request once its usual duration no longer fits, and 50 ms before its deadline at the latest; noMethod and badMessage prove that a request did not run; trial requests avoid suspected daemons and failed paths.

--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -317,10 +317,10 @@
 	return wire.RunAnswer{}, false
 }
 
-// awaitSlot waits until the queue has decided on the item, its deadline passes
-// or the context ends.
+// awaitSlot waits until the queue has decided on the item, it can't meet its deadline
+// any more, or the context ends.
 func (gu *guard) awaitSlot(ctx context.Context, item *rankqueue.Item, decided <-chan rankqueue.Decision) rankqueue.Decision {
-	timer := time.NewTimer(item.Deadline.Sub(gu.opts.Clock.Now()))
+	timer := time.NewTimer(gu.latestStart(item).Sub(gu.opts.Clock.Now()))
 	defer timer.Stop()
 	select {
 	case dec := <-decided:
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -164,6 +164,9 @@
 	if errors.As(err, &remote) && remote.Code == "overloaded" {
 		return wire.NotRun(outcome.Overloaded, remote.Error())
 	}
+	if remote != nil && (remote.Code == "noMethod" || remote.Code == "badMessage") {
+		return wire.NotRun(outcome.LinkLost, remote.Error()) // No gate got the request.
+	}
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	if !cancelled {
 		in.tracker.recordPath(now, chosen.endpoint.Daemon, false)
--- a/cactusd/internal/ingress/choose.go
+++ b/cactusd/internal/ingress/choose.go
@@ -110,10 +110,12 @@
 	for i := range pool.Endpoints {
 		endpoint := pool.Endpoints[(first+i)%len(pool.Endpoints)]
 		switch {
+		case endpoint.Suspect || !in.tracker.isPathHealthy(now, endpoint.Daemon):
+			// Its daemon may not answer, and a trial request isn't preceded by an estimate.
 		case skipsOtherZones && endpoint.Zone != in.opts.Zone:
 		case endpoint.State == fleet.StateTrial && rand.Float64() < share:
 			return endpoint, true
-		case !maySendToSuspected || endpoint.Suspect || !in.isUsable(req, endpoint):
+		case !maySendToSuspected || !in.isUsable(req, endpoint):
 		case in.tracker.isTrialDue(now, endpoint.Key, endpoint.State == fleet.StateSuspected) && rand.Float64() < suspectedTrialShare:
 			return endpoint, true
 		}
