feat(cactusctl): where explains where a request would go now

Cause: why a request went to an upstream could be told only afterwards, from the logs. Change: new operators' API /v1/where of a daemon and the command cactusctl where. The daemon uses the decision code of requests (route, groups of endpoints, wait estimates, placement) and sends nothing to an upstream. Organisations and quotas are not part of it yet.

--- a/cactusctl/internal/client/client.go
+++ b/cactusctl/internal/client/client.go
@@ -15,13 +15,16 @@
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
 
 	genfleet "cactusstream.example/core/gen/fleet"
 	fleetclient "cactusstream.example/core/gen/http/fleet/client"
 	keepersclient "cactusstream.example/core/gen/http/keepers/client"
+	placementclient "cactusstream.example/core/gen/http/placement/client"
 	processclient "cactusstream.example/core/gen/http/process/client"
 	settingsclient "cactusstream.example/core/gen/http/settings/client"
 	genkeepers "cactusstream.example/core/gen/keepers"
+	genplacement "cactusstream.example/core/gen/placement"
 	genprocess "cactusstream.example/core/gen/process"
 	gensettings "cactusstream.example/core/gen/settings"
 )
@@ -166,6 +169,28 @@
 	})
 }
 
+// Where returns where the first configured daemon that answers would send a request. An
+// error of that daemon about the request is final.
+func (cl *Client) Where(ctx context.Context, pay *genplacement.WherePayload) (*genplacement.WhereResult, error) {
+	type answer struct {
+		result *genplacement.WhereResult
+		err    error
+	}
+	ans, err := callDaemons(ctx, cl, func(ctx context.Context, address string) (answer, error) {
+		cli := placementclient.NewClient(cl.cfg.Scheme, address, cl.doer(), goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+		result, err := genplacement.NewClient(cli.Where()).Where(ctx, pay)
+		var refused *goa.ServiceError
+		if errors.As(err, &refused) && refused.Name == "noRoute" {
+			return answer{err: fmt.Errorf("%s: %w", address, err)}, nil
+		}
+		return answer{result: result}, err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return ans.result, ans.err
+}
+
 func (cl *Client) doer() goahttp.Doer {
 	return &authenticatedDoer{http: cl.cfg.HTTP, token: cl.cfg.Token}
 }
--- a/cactusctl/internal/cmd/root.go
+++ b/cactusctl/internal/cmd/root.go
@@ -67,7 +67,7 @@
 	flags.StringVar(&ap.authority, "authority", os.Getenv("CACTUS_AUTHORITY"), "PEM file with the certificate authority of the fleet; enables TLS")
 	flags.StringVar(&ap.output, "output", "table", "output format: table or json")
 	flags.DurationVar(&ap.timeout, "timeout", 15*time.Second, "time limit for each step of the command")
-	root.AddCommand(newClaimsCmd(ap), newDumpCmd(ap), newExplainCmd(ap), newKeepersCmd(ap), newMetricsCmd(ap), newSettingsCmd(ap), newStatusCmd(ap), newUpstreamsCmd(ap))
+	root.AddCommand(newClaimsCmd(ap), newDumpCmd(ap), newExplainCmd(ap), newKeepersCmd(ap), newMetricsCmd(ap), newSettingsCmd(ap), newStatusCmd(ap), newUpstreamsCmd(ap), newWhereCmd(ap))
 	return root
 }
 
--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -25,9 +25,11 @@
 
 	announceserver "cactusstream.example/core/gen/http/announce/server"
 	fleetserver "cactusstream.example/core/gen/http/fleet/server"
+	placementserver "cactusstream.example/core/gen/http/placement/server"
 
 	genannounce "cactusstream.example/core/gen/announce"
 	genfleet "cactusstream.example/core/gen/fleet"
+	genplacement "cactusstream.example/core/gen/placement"
 	genprocess "cactusstream.example/core/gen/process"
 
 	goahttp "goa.design/goa/v3/http"
@@ -336,6 +338,7 @@
 func (da *Daemon) operatorsHandler() http.Handler {
 	ops := process.NewOperatorAPI(da.opts.OperatorTokens, da.status, da.Dump, da.metrics)
 	process.Mount(ops.Mux(), fleetserver.New, fleetserver.Mount, genfleet.NewEndpoints(fleet.NewService(da.fleet)))
+	process.Mount(ops.Mux(), placementserver.New, placementserver.Mount, genplacement.NewEndpoints(ingress.NewPlacementService(da.ingress)))
 	upstreams := goahttp.NewMuxer()
 	process.Mount(upstreams, announceserver.New, announceserver.Mount, genannounce.NewEndpoints(gate.NewAnnounceService(da.gate)))
 	mux := http.NewServeMux()
--- a/cactusd/internal/ingress/estimate.go
+++ b/cactusd/internal/ingress/estimate.go
@@ -48,10 +48,18 @@
 	noRetriesLeft bool
 }
 
-// chooseByEstimate asks a sample of endpoints for wait estimates and selects the
-// best one.
-func (in *Ingress) chooseByEstimate(ctx context.Context, req *request, endpoints []fleet.Endpoint) selection {
-	policy := in.placementPolicy(req, endpoints)
+// evaluation is the result of asking a sample of endpoints for wait estimates.
+type evaluation struct {
+	policy placement.Policy
+	asked  estimateRound
+	// only is the index of the only endpoint, which isn't asked, or -1.
+	only     int
+	decision placement.Decision
+}
+
+// evaluate asks a sample of endpoints for wait estimates and decides between them.
+func (in *Ingress) evaluate(ctx context.Context, req *request, endpoints []fleet.Endpoint) evaluation {
+	ev := evaluation{policy: in.placementPolicy(req, endpoints), only: -1, decision: placement.Decision{At: -1}}
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		candidate := placement.Candidate{ID: endpoint.Key, Zone: endpoint.Zone}
@@ -60,22 +68,34 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	rounds := placement.Rounds(rand.New(globalSource{}), candidates, policy)
+	rounds := placement.Rounds(rand.New(globalSource{}), candidates, ev.policy)
 	if len(rounds) == 1 && len(rounds[0]) == 1 {
-		return selection{choice: choice{endpoint: endpoints[rounds[0][0]]}, inTime: true}
+		ev.only = rounds[0][0]
+		return ev
 	}
 	remaining := req.deadline.Sub(in.opts.Clock.Now())
-	asked := estimateRound{candidates: candidates}
+	ev.asked = estimateRound{candidates: candidates}
 	for _, round := range rounds {
-		if placement.IsSettled(asked.estimates, remaining, policy) {
+		if placement.IsSettled(ev.asked.estimates, remaining, ev.policy) {
 			break
 		}
-		asked.add(in.requestEstimates(ctx, req, endpoints, round))
+		ev.asked.add(in.requestEstimates(ctx, req, endpoints, round))
+	}
+	ev.decision = placement.Best(ev.asked.estimates, remaining, ev.policy)
+	return ev
+}
+
+// chooseByEstimate asks a sample of endpoints for wait estimates and selects the
+// best one.
+func (in *Ingress) chooseByEstimate(ctx context.Context, req *request, endpoints []fleet.Endpoint) selection {
+	ev := in.evaluate(ctx, req, endpoints)
+	if ev.only >= 0 {
+		return selection{choice: choice{endpoint: endpoints[ev.only]}, inTime: true}
 	}
+	asked, decision := ev.asked, ev.decision
 	if len(asked.suspected) > 0 && in.maySendTrial(req) && rand.Float64() < suspectedTrialShare {
 		return selection{choice: choice{endpoint: endpoints[asked.suspected[0]], trial: true}, inTime: true}
 	}
-	decision := placement.Best(asked.estimates, remaining, policy)
 	if decision.At < 0 {
 		return selection{noRetriesLeft: asked.noRetriesLeft}
 	}
@@ -95,9 +115,12 @@
 	// noRetriesLeft means that at least one gate had no retry left for the
 	// request.
 	noRetriesLeft bool
+	// answers holds all estimates that arrived, also those that reject the request.
+	answers []estimate
 }
 
 func (ro *estimateRound) add(estimates []estimate) {
+	ro.answers = append(ro.answers, estimates...)
 	for _, est := range estimates {
 		switch {
 		case est.answer.Rejected == outcome.RetryBudgetExhausted:
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -118,6 +118,7 @@
 	// hasCallerKey means that the caller supplied the idempotency key, and so may
 	// send the request again.
 	hasCallerKey bool
+	bodyBytes    int
 	attempts     int
 	// possibleRuns counts the attempts that may have run at an upstream.
 	possibleRuns int
@@ -238,12 +239,8 @@
 	if !found {
 		return req, req.reject(outcome.NoRoute, "no configured kind of request matches this method and path")
 	}
-	req.policy = current.Resolver.Policy(path)
-	if service := req.policy.Split.Choose(rand.Float64()); service != "" {
-		path.Service = service
-	}
-	req.path = path
-	req.poolPolicy = current.Resolver.Policy(settings.Path{Firm: in.opts.Firm, Place: in.opts.Place, Service: path.Service})
+	in.applyRoute(req, current, path)
+	path = req.path
 	if req.policy.Idempotent {
 		req.hasCallerKey = false
 	}
@@ -270,6 +267,7 @@
 	case err != nil:
 		return req, req.reject(outcome.BadRequest, "the body could not be read")
 	}
+	req.bodyBytes = len(body)
 	req.runRequest = wire.RunRequest{
 		Request: req.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: req.policy.Rank, Idempotent: req.policy.Idempotent,
 		Method: httpReq.Method, Host: httpReq.Host, URI: httpReq.URL.RequestURI(), Header: in.forwardHeader(httpReq.Header, req.policy.Internal), Body: body,
@@ -278,6 +276,16 @@
 	return req, nil
 }
 
+// applyRoute resolves the policies of a request from the route that it matches.
+func (in *Ingress) applyRoute(req *request, current *settingsync.Active, path settings.Path) {
+	req.policy = current.Resolver.Policy(path)
+	if service := req.policy.Split.Choose(rand.Float64()); service != "" {
+		path.Service = service
+	}
+	req.path = path
+	req.poolPolicy = current.Resolver.Policy(settings.Path{Firm: in.opts.Firm, Place: in.opts.Place, Service: path.Service})
+}
+
 // awaitSettings returns the settings in force. If there are none yet, it waits
 // up to startupTimeout for them.
 func (in *Ingress) awaitSettings(ctx context.Context) *settingsync.Active {
--- a/cactusd/internal/ingress/zonebytes.go
+++ b/cactusd/internal/ingress/zonebytes.go
@@ -33,8 +33,12 @@
 	if req.poolPolicy.ZoneByteCost == 0 || !slices.ContainsFunc(endpoints, isInOwnZone) {
 		return 0
 	}
-	bytes := float64(len(req.runRequest.Body)) + in.sizes.Expected(sizeKind(req))
-	return placement.ByteCost(req.poolPolicy.ZoneByteCost, bytes)
+	return placement.ByteCost(req.poolPolicy.ZoneByteCost, in.expectedBytes(req))
+}
+
+// expectedBytes returns the expected size of a request and its answer.
+func (in *Ingress) expectedBytes(req *request) float64 {
+	return float64(req.bodyBytes) + in.sizes.Expected(sizeKind(req))
 }
 
 // placementPolicy returns the policy by which a request is placed at one of the endpoints.
--- a/core/design/design.go
+++ b/core/design/design.go
@@ -268,6 +268,68 @@
 	})
 })
 
+// WhereCandidate is an endpoint to which a request may go, in the view of one daemon.
+var WhereCandidate = Type("WhereCandidate", func() {
+	Attribute("upstream", String)
+	Attribute("daemon", String, "Id of the daemon on the same VM as the upstream.")
+	Attribute("zone", String)
+	Attribute("state", String, "State of the upstream, as in the list of upstreams.")
+	Attribute("group", String, "preferred, suspected, unreachable or excluded.")
+	Attribute("asked", Boolean, "Whether its gate was asked for a wait estimate.")
+	Attribute("waitMs", Int64, "Estimated wait for a slot.")
+	Attribute("durationMs", Int64, "Expected duration of the request; 0 if unknown.")
+	Attribute("costMs", Int64, "Wait that the endpoint must save for its zone and its state.")
+	Attribute("inTime", Boolean, "Whether the request is expected to end in time there.")
+	Attribute("chosen", Boolean, "Whether the request would go there.")
+	Attribute("reason", String, "Why the endpoint was chosen or not.")
+	Required("upstream", "daemon", "zone", "state", "group", "asked", "waitMs", "durationMs", "costMs", "inTime", "chosen", "reason")
+})
+
+var _ = Service("placement", func() {
+	Description("Explanation of where a daemon would send a request, served by daemons.")
+	Error("noRoute", ErrorResult)
+	Error("noSettings", ErrorResult)
+	HTTP(func() {
+		Response("noRoute", StatusNotFound)
+		Response("noSettings", StatusServiceUnavailable)
+	})
+	Method("where", func() {
+		Description("Return where a request that arrives now would go, and why. Nothing is sent to an upstream.")
+		Payload(func() {
+			Attribute("method", String, func() { Default("GET"); MaxLength(16) })
+			Attribute("host", String, func() { Default(""); MaxLength(256) })
+			Attribute("path", String, func() { MinLength(1); MaxLength(8192) })
+			Attribute("firm", String, func() { Default(""); MaxLength(256) })
+			Attribute("place", String, func() { Default(""); MaxLength(256) })
+			Attribute("bodyBytes", Int, "Size of the body of the request.", func() { Default(0); Minimum(0) })
+			Attribute("deadlineMs", Int, "Deadline that the caller sets; 0 for none.", func() { Default(0); Minimum(0); Maximum(86400000) })
+			Required("path")
+		})
+		Result(func() {
+			Attribute("firm", String)
+			Attribute("service", String)
+			Attribute("kind", String)
+			Attribute("rank", Int)
+			Attribute("settingsVersion", UInt64)
+			Attribute("remainingMs", Int64, "Time until the deadline.")
+			Attribute("expectedBytes", Int64, "Expected size of the request and its answer.")
+			Attribute("verdict", String, "What would happen to the request.")
+			Attribute("candidates", ArrayOf(WhereCandidate))
+			Required("firm", "service", "kind", "rank", "settingsVersion", "remainingMs", "expectedBytes", "verdict", "candidates")
+		})
+		HTTP(func() {
+			GET("/v1/where")
+			Param("method")
+			Param("host")
+			Param("path")
+			Param("firm")
+			Param("place")
+			Param("bodyBytes")
+			Param("deadlineMs")
+		})
+	})
+})
+
 var _ = Service("announce", func() {
 	Description("Registration of upstreams at the daemon on their VM.")
 	Error("unknownUpstream", ErrorResult)
--- a/core/gen/http/cli/cactusstream/cli.go
+++ b/core/gen/http/cli/cactusstream/cli.go
@@ -16,6 +16,7 @@
 	announcec "cactusstream.example/core/gen/http/announce/client"
 	fleetc "cactusstream.example/core/gen/http/fleet/client"
 	keepersc "cactusstream.example/core/gen/http/keepers/client"
+	placementc "cactusstream.example/core/gen/http/placement/client"
 	processc "cactusstream.example/core/gen/http/process/client"
 	settingsc "cactusstream.example/core/gen/http/settings/client"
 	goahttp "goa.design/goa/v3/http"
@@ -31,17 +32,18 @@
 		"keepers (status|change)",
 		"process (status|dump|metrics)",
 		"fleet (members|upstreams)",
+		"placement where",
 		"announce (announce|report|leave)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "settings apply --body '{\n      \"author\": \"c72\",\n      \"edits\": [\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         },\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         },\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         }\n      ],\n      \"expectVersion\": 6871603649262010284,\n      \"id\": \"bm\",\n      \"reason\": \"ram\"\n   }'" + "\n" +
+	return os.Args[0] + " " + "settings apply --body '{\n      \"author\": \"rkx\",\n      \"edits\": [\n         {\n            \"key\": \"q80\",\n            \"path\": \"glh\",\n            \"unset\": false,\n            \"value\": \"b0q\"\n         }\n      ],\n      \"expectVersion\": 6101118820078310656,\n      \"id\": \"v\",\n      \"reason\": \"4zq\"\n   }'" + "\n" +
 		os.Args[0] + " " + "keepers status" + "\n" +
 		os.Args[0] + " " + "process status" + "\n" +
 		os.Args[0] + " " + "fleet members" + "\n" +
-		os.Args[0] + " " + "announce announce --body '{\n      \"address\": \"wuu\",\n      \"coldMs\": 2127059,\n      \"connections\": 89857,\n      \"id\": \"igQ\",\n      \"service\": \"j\",\n      \"slots\": 9797\n   }'" + "\n" +
+		os.Args[0] + " " + "placement where --method \"1kr\" --host \"fjn\" --path \"u4l\" --firm \"sr4\" --place \"vpa\" --body-bytes 924632966601098589 --deadline-ms 48860629" + "\n" +
 		""
 }
 
@@ -92,6 +94,17 @@
 
 		fleetUpstreamsFlags = flag.NewFlagSet("upstreams", flag.ExitOnError)
 
+		placementFlags = flag.NewFlagSet("placement", flag.ContinueOnError)
+
+		placementWhereFlags          = flag.NewFlagSet("where", flag.ExitOnError)
+		placementWhereMethodFlag     = placementWhereFlags.String("method", "GET", "")
+		placementWhereHostFlag       = placementWhereFlags.String("host", "", "")
+		placementWherePathFlag       = placementWhereFlags.String("path", "REQUIRED", "")
+		placementWhereFirmFlag       = placementWhereFlags.String("firm", "", "")
+		placementWherePlaceFlag      = placementWhereFlags.String("place", "", "")
+		placementWhereBodyBytesFlag  = placementWhereFlags.String("body-bytes", "", "")
+		placementWhereDeadlineMsFlag = placementWhereFlags.String("deadline-ms", "", "")
+
 		announceFlags = flag.NewFlagSet("announce", flag.ContinueOnError)
 
 		announceAnnounceFlags    = flag.NewFlagSet("announce", flag.ExitOnError)
@@ -123,6 +136,9 @@
 	fleetMembersFlags.Usage = fleetMembersUsage
 	fleetUpstreamsFlags.Usage = fleetUpstreamsUsage
 
+	placementFlags.Usage = placementUsage
+	placementWhereFlags.Usage = placementWhereUsage
+
 	announceFlags.Usage = announceUsage
 	announceAnnounceFlags.Usage = announceAnnounceUsage
 	announceReportFlags.Usage = announceReportUsage
@@ -151,6 +167,8 @@
 			svcf = processFlags
 		case "fleet":
 			svcf = fleetFlags
+		case "placement":
+			svcf = placementFlags
 		case "announce":
 			svcf = announceFlags
 		default:
@@ -217,6 +235,13 @@
 
 			}
 
+		case "placement":
+			switch epn {
+			case "where":
+				epf = placementWhereFlags
+
+			}
+
 		case "announce":
 			switch epn {
 			case "announce":
@@ -293,6 +318,13 @@
 			case "upstreams":
 				endpoint = c.Upstreams()
 			}
+		case "placement":
+			c := placementc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "where":
+				endpoint = c.Where()
+				data, err = placementc.BuildWherePayload(*placementWhereMethodFlag, *placementWhereHostFlag, *placementWherePathFlag, *placementWhereFirmFlag, *placementWherePlaceFlag, *placementWhereBodyBytesFlag, *placementWhereDeadlineMsFlag)
+			}
 		case "announce":
 			c := announcec.NewClient(scheme, host, doer, enc, dec, restore)
 			switch epn {
@@ -343,7 +375,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings apply --body '{\n      \"author\": \"c72\",\n      \"edits\": [\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         },\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         },\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         }\n      ],\n      \"expectVersion\": 6871603649262010284,\n      \"id\": \"bm\",\n      \"reason\": \"ram\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings apply --body '{\n      \"author\": \"rkx\",\n      \"edits\": [\n         {\n            \"key\": \"q80\",\n            \"path\": \"glh\",\n            \"unset\": false,\n            \"value\": \"b0q\"\n         }\n      ],\n      \"expectVersion\": 6101118820078310656,\n      \"id\": \"v\",\n      \"reason\": \"4zq\"\n   }'")
 }
 
 func settingsTreeUsage() {
@@ -363,7 +395,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings tree --version 15220483869677383020 --fresh true")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings tree --version 3626735204034190374 --fresh true")
 }
 
 func settingsLogUsage() {
@@ -383,7 +415,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings log --before 3745353329066964704 --limit 233")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings log --before 9920937511419970264 --limit 463")
 }
 
 func settingsExplainUsage() {
@@ -401,7 +433,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings explain --path \"aqy\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings explain --path \"m4n\"")
 }
 
 // keepersUsage displays the usage of the keepers command and its subcommands.
@@ -446,7 +478,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "keepers change --body '{\n      \"id\": \"6o\",\n      \"operation\": \"add\",\n      \"operatorAddress\": \"4u1\",\n      \"peerAddress\": \"9sh\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "keepers change --body '{\n      \"id\": \"y\",\n      \"operation\": \"add\",\n      \"operatorAddress\": \"rf9\",\n      \"peerAddress\": \"5oo\"\n   }'")
 }
 
 // processUsage displays the usage of the process command and its subcommands.
@@ -552,6 +584,47 @@
 	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet upstreams")
 }
 
+// placementUsage displays the usage of the placement command and its
+// subcommands.
+func placementUsage() {
+	fmt.Fprintln(os.Stderr, `Explanation of where a daemon would send a request, served by daemons.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] placement COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    where: Return where a request that arrives now would go, and why. Nothing is sent to an upstream.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s placement COMMAND --help\n", os.Args[0])
+}
+func placementWhereUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] placement where", os.Args[0])
+	fmt.Fprint(os.Stderr, " -method STRING")
+	fmt.Fprint(os.Stderr, " -host STRING")
+	fmt.Fprint(os.Stderr, " -path STRING")
+	fmt.Fprint(os.Stderr, " -firm STRING")
+	fmt.Fprint(os.Stderr, " -place STRING")
+	fmt.Fprint(os.Stderr, " -body-bytes INT")
+	fmt.Fprint(os.Stderr, " -deadline-ms INT")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Return where a request that arrives now would go, and why. Nothing is sent to an upstream.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -method STRING: `)
+	fmt.Fprintln(os.Stderr, `    -host STRING: `)
+	fmt.Fprintln(os.Stderr, `    -path STRING: `)
+	fmt.Fprintln(os.Stderr, `    -firm STRING: `)
+	fmt.Fprintln(os.Stderr, `    -place STRING: `)
+	fmt.Fprintln(os.Stderr, `    -body-bytes INT: `)
+	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "placement where --method \"1kr\" --host \"fjn\" --path \"u4l\" --firm \"sr4\" --place \"vpa\" --body-bytes 924632966601098589 --deadline-ms 48860629")
+}
+
 // announceUsage displays the usage of the announce command and its subcommands.
 func announceUsage() {
 	fmt.Fprintln(os.Stderr, `Registration of upstreams at the daemon on their VM.`)
@@ -579,7 +652,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce announce --body '{\n      \"address\": \"wuu\",\n      \"coldMs\": 2127059,\n      \"connections\": 89857,\n      \"id\": \"igQ\",\n      \"service\": \"j\",\n      \"slots\": 9797\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce announce --body '{\n      \"address\": \"3xd\",\n      \"coldMs\": 498481,\n      \"connections\": 73169,\n      \"id\": \"HG\",\n      \"service\": \"Y4\",\n      \"slots\": 6423\n   }'")
 }
 
 func announceReportUsage() {
@@ -599,7 +672,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce report --body '{\n      \"busy\": 73752\n   }' --id \"ne0\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce report --body '{\n      \"busy\": 74616\n   }' --id \"6x3\"")
 }
 
 func announceLeaveUsage() {
@@ -617,5 +690,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce leave --id \"2o1\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce leave --id \"jkf\"")
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -88,7 +88,7 @@
 		inTime := est.Wait+est.ExpectedDuration <= policy.available(est, remaining)
 		switch {
 		case dec.At < 0, inTime && !dec.InTime:
-		case inTime != dec.InTime, policy.cost(est) >= policy.cost(estimates[dec.At]):
+		case inTime != dec.InTime, policy.Cost(est) >= policy.Cost(estimates[dec.At]):
 			continue
 		}
 		dec = Decision{At: at, InTime: inTime}
@@ -101,7 +101,7 @@
 // CrossZoneCost and ByteCost.
 func IsSettled(estimates []Estimate, remaining time.Duration, policy Policy) bool {
 	dec := Best(estimates, remaining, policy)
-	return dec.InTime && policy.cost(estimates[dec.At]) <= policy.CrossZoneCost+policy.ByteCost
+	return dec.InTime && policy.Cost(estimates[dec.At]) <= policy.CrossZoneCost+policy.ByteCost
 }
 
 // Sample returns the indexes of random candidates to ask: those in the own zone, and
@@ -134,8 +134,8 @@
 	return rounds
 }
 
-// cost returns the wait plus the penalties of the candidate and of its zone.
-func (po Policy) cost(est Estimate) time.Duration {
+// Cost returns the wait plus the penalties of the candidate and of its zone.
+func (po Policy) Cost(est Estimate) time.Duration {
 	cost := est.Wait + est.Cost
 	if est.Zone != po.Zone {
 		cost += po.CrossZoneCost + po.ByteCost
