feat(ingress): metrics of what crosses zones

The bytes between zones are the largest cost of one deployment, and no metric showed them: attempts, bodies of requests and answers, and wait estimates that go to other zones are counted now.

--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -146,7 +146,7 @@
 		answer = in.linkFailure(ctx, now, chosen, err)
 	} else {
 		in.tracker.recordPath(now, chosen.endpoint.Daemon, true)
-		in.recordSize(req, answer)
+		in.recordSize(req, chosen.endpoint, answer)
 	}
 	if answer.Outcome == outcome.Ran && !in.opts.Dialect.OmitsDetails {
 		if answer.Header == nil {
--- a/cactusd/internal/ingress/estimate.go
+++ b/cactusd/internal/ingress/estimate.go
@@ -143,6 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, estimateTimeout)
 	defer cancel()
+	in.countEstimates(endpoints, sample)
 	answers := make(chan estimate, len(sample))
 	for _, index := range sample {
 		go func() {
--- a/cactusd/internal/ingress/zonebytes.go
+++ b/cactusd/internal/ingress/zonebytes.go
@@ -41,6 +41,15 @@
 	return float64(req.bodyBytes) + in.sizes.Expected(sizeKind(req))
 }
 
+// countEstimates counts the wait estimates that are asked across zones.
+func (in *Ingress) countEstimates(endpoints []fleet.Endpoint, sample []int) {
+	for _, index := range sample {
+		if endpoints[index].Zone != in.opts.Zone {
+			in.opts.Metrics.Counter("ingress.crossed.estimates").Inc(1)
+		}
+	}
+}
+
 // placementPolicy returns the policy by which a request is placed at one of the endpoints.
 func (in *Ingress) placementPolicy(req *request, endpoints []fleet.Endpoint) placement.Policy {
 	policy := placement.Policy{Zone: in.opts.Zone, OwnZoneCount: req.poolPolicy.Quotes, OtherZoneCount: req.poolPolicy.Quotes, CrossZoneCost: req.poolPolicy.ZoneCost, Margin: maxTimeShare}
@@ -50,8 +59,14 @@
 	return policy
 }
 
-// recordSize learns the size of the answer to a request from an upstream's response.
-func (in *Ingress) recordSize(req *request, answer wire.RunAnswer) {
+// recordSize learns the size of the answer to a request from an upstream's response, and
+// counts what crossed zones.
+func (in *Ingress) recordSize(req *request, endpoint fleet.Endpoint, answer wire.RunAnswer) {
+	if endpoint.Zone != in.opts.Zone {
+		in.opts.Metrics.Counter("ingress.crossed.attempts").Inc(1)
+		in.opts.Metrics.Counter("ingress.crossed.requestBytes").Inc(int64(req.bodyBytes))
+		in.opts.Metrics.Counter("ingress.crossed.answerBytes").Inc(int64(len(answer.Body)))
+	}
 	if answer.Outcome == outcome.Ran && req.poolPolicy.ZoneByteCost > 0 {
 		in.sizes.Observe(sizeKind(req), len(answer.Body))
 	}
--- a/cactusd/internal/ingress/zonebytes_test.go
+++ b/cactusd/internal/ingress/zonebytes_test.go
@@ -12,6 +12,7 @@
 	"cactusstream.example/cactusd/internal/ingress"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/fleet"
+	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/settings"
 )
@@ -116,3 +117,25 @@
 	is.True(without > 60)
 	is.True(with > 0 && with < 30)
 }
+
+// TestCrossingsAreCounted guards against bytes between zones that no metric shows.
+func TestCrossingsAreCounted(t *testing.T) {
+	is := is.New(t)
+	registry := metrics.NewRegistry()
+	runner := &estimatingRunner{
+		estimate: func(endpoint fleet.Endpoint) (wire.WaitEstimate, error) {
+			if endpoint.Zone == "z" {
+				return wire.WaitEstimate{Wait: time.Second}, nil
+			}
+			return wire.WaitEstimate{}, nil
+		},
+		answer: func(fleet.Endpoint, wire.RunRequest) (wire.RunAnswer, error) {
+			return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusOK, Header: wire.Header{}, Body: make([]byte, 70)}, nil
+		},
+	}
+	in := newPlatformIngress(t, runner, newReplica(t, newPlatformSettings()), func(opts *ingress.Options) { opts.Metrics = registry })
+	is.Equal(sendRequest(in, "/cut/7", "5000", "body").Code, 200)
+	for name, want := range map[string]int64{"attempts": 1, "requestBytes": 4, "answerBytes": 70, "estimates": 2} {
+		is.Equal(registry.Counter("ingress.crossed."+name).Count(), want)
+	}
+}
