fix(workcost): an estimator learns also when others have used the allowance up

An upstream that was announced after others on its VM had used all classes got none, and its requests had no expected duration. Each estimator now has 64 classes of its own.

--- a/core/workcost/node.go
+++ b/core/workcost/node.go
@@ -11,6 +11,9 @@
 	// NodesPerDaemon is the number of classes that the estimators of a daemon keep
 	// together: about 1 MB.
 	NodesPerDaemon = 8192
+	// ownNodes is the number of classes that an estimator keeps outside of its allowance,
+	// so that it can learn kinds when others have used the allowance up.
+	ownNodes = 64
 	// maxProfiles is the number of kinds whose distributions an estimator keeps.
 	maxProfiles = 256
 	// evictionSample is the number of classes among which the one without a sample for
@@ -43,7 +46,7 @@
 // Close returns what the estimator has taken from its allowance. The estimator may be
 // used further; it has learned nothing.
 func (es *Estimator) Close() {
-	es.allowance.left.Add(int64(len(es.nodes)))
+	es.allowance.left.Add(int64(max(len(es.nodes)-ownNodes, 0)))
 	clear(es.nodes)
 	clear(es.profiles)
 	es.slowdown = slowdown{factor: 1}
@@ -137,14 +140,14 @@
 	}
 }
 
-// node returns the node with a key, which it creates if the allowance has room or another
-// node can be evicted. It returns nil otherwise.
+// node returns the node with a key. It creates it, in the place of another one if the
+// allowance is used up.
 func (es *Estimator) node(now time.Time, key nodeKey) *node {
 	if no := es.nodes[key]; no != nil {
 		return no
 	}
-	if !es.allowance.take() && !es.evict() {
-		return nil
+	if len(es.nodes) >= ownNodes && !es.allowance.take() {
+		es.evict()
 	}
 	no := &node{lastAt: now}
 	es.nodes[key] = no
@@ -153,7 +156,7 @@
 
 // evict makes room for a node, by the longest silence among a few. General nodes get
 // samples most often and so stay.
-func (es *Estimator) evict() bool {
+func (es *Estimator) evict() {
 	seen, oldest := 0, nodeKey(0)
 	for key, no := range es.nodes {
 		if seen == 0 || no.lastAt.Before(es.nodes[oldest].lastAt) {
@@ -165,5 +168,4 @@
 		}
 	}
 	delete(es.nodes, oldest)
-	return seen > 0
 }
--- a/core/workcost/workcost.go
+++ b/core/workcost/workcost.go
@@ -167,9 +167,7 @@
 	expected := es.expect(now, class).Mean.Seconds()
 	work := actual / es.slowdown.factor
 	for _, key := range keysOf(class) {
-		if no := es.node(now, key); no != nil {
-			no.add(now, work, expected, actual, isFresh)
-		}
+		es.node(now, key).add(now, work, expected, actual, isFresh)
 	}
 	if exp.Mean > 0 && exp.Fresh {
 		es.profileOf(class.Kind).add(actual / exp.Mean.Seconds())
--- a/core/workcost/workcost_test.go
+++ b/core/workcost/workcost_test.go
@@ -174,6 +174,30 @@
 	is.True(estimators[1].Expect(now, workcost.Class{Kind: "unknown"}).Mean > 0)
 }
 
+// TestLateEstimatorLearns guards against an upstream that is announced when others have
+// used the allowance up, and of which nothing can be learned then.
+func TestLateEstimatorLearns(t *testing.T) {
+	is := is.New(t)
+	allowance := workcost.NewAllowance(100)
+	first, second := workcost.New(allowance), workcost.New(allowance)
+	now := epoch
+	for i := range 1000 {
+		now = observe(first, now, workcost.Class{Kind: fmt.Sprint("kind", i)}, 100*ms, 1)
+	}
+	for range 20 {
+		now = observe(second, now, workcost.Class{Kind: "short"}, 100*ms, 2)
+		now = observe(second, now, workcost.Class{Kind: "long"}, 900*ms, 2)
+	}
+	is.True(isNear(second.Expect(now, workcost.Class{Kind: "short"}).Mean, 100*ms))
+	is.True(isNear(second.Expect(now, workcost.Class{Kind: "long"}).Mean, 900*ms))
+	first.Close() // Its part of the allowance is free again.
+	third := workcost.New(allowance)
+	for i := range 30 {
+		now = observe(third, now, workcost.Class{Kind: fmt.Sprint("kind", i)}, 100*ms, 1)
+	}
+	is.True(third.Expect(now, workcost.Class{Kind: "kind0"}).Mean > 0)
+}
+
 func TestSizeClass(t *testing.T) {
 	is := is.New(t)
 	for bytes, want := range map[int]uint8{0: 0, 1: 1, 1024: 1, 1025: 2, 4096: 2, 4097: 3, 16384: 3, 64 << 20: 9} {
