--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -146,6 +146,7 @@
 		answer = in.linkFailure(ctx, now, chosen, err)
 	} else {
 		in.tracker.recordPath(now, chosen.endpoint.Daemon, true)
+		in.recordSize(req, chosen.endpoint, answer)
 	}
 	if answer.Outcome == outcome.Ran && !in.opts.Dialect.OmitsDetails {
 		if answer.Header == nil {
@@ -163,6 +164,9 @@
 	if errors.As(err, &remote) && remote.Code == "overloaded" {
 		return wire.NotRun(outcome.Overloaded, remote.Error())
 	}
+	if remote != nil && (remote.Code == "noMethod" || remote.Code == "badMessage") {
+		return wire.NotRun(outcome.LinkLost, remote.Error()) // No gate got the request.
+	}
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	if !cancelled {
 		in.tracker.recordPath(now, chosen.endpoint.Daemon, false)
--- a/cactusd/internal/ingress/estimate.go
+++ b/cactusd/internal/ingress/estimate.go
@@ -48,10 +48,18 @@
 	noRetriesLeft bool
 }
 
-// chooseByEstimate asks a sample of endpoints for wait estimates and selects the
-// best one.
-func (in *Ingress) chooseByEstimate(ctx context.Context, req *request, endpoints []fleet.Endpoint) selection {
-	policy := placement.Policy{Zone: in.opts.Zone, OwnZoneCount: req.poolPolicy.Quotes, OtherZoneCount: req.poolPolicy.Quotes, CrossZoneCost: req.poolPolicy.ZoneCost, Margin: maxTimeShare}
+// evaluation is the result of asking a sample of endpoints for wait estimates.
+type evaluation struct {
+	policy placement.Policy
+	asked  estimateRound
+	// only is the index of the only endpoint, which isn't asked, or -1.
+	only     int
+	decision placement.Decision
+}
+
+// evaluate asks a sample of endpoints for wait estimates and decides between them.
+func (in *Ingress) evaluate(ctx context.Context, req *request, endpoints []fleet.Endpoint) evaluation {
+	ev := evaluation{policy: in.placementPolicy(req, endpoints), only: -1, decision: placement.Decision{At: -1}}
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		candidate := placement.Candidate{ID: endpoint.Key, Zone: endpoint.Zone}
@@ -60,20 +68,34 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	near, far := placement.Sample(rand.New(globalSource{}), candidates, policy)
-	if len(near)+len(far) == 1 {
-		return selection{choice: choice{endpoint: endpoints[append(near, far...)[0]]}, inTime: true}
+	rounds := placement.Rounds(rand.New(globalSource{}), candidates, ev.policy)
+	if len(rounds) == 1 && len(rounds[0]) == 1 {
+		ev.only = rounds[0][0]
+		return ev
 	}
 	remaining := req.deadline.Sub(in.opts.Clock.Now())
-	asked := estimateRound{candidates: candidates}
-	asked.add(in.requestEstimates(ctx, req, endpoints, near))
-	if !placement.IsSettled(asked.estimates, remaining, policy) {
-		asked.add(in.requestEstimates(ctx, req, endpoints, far))
+	ev.asked = estimateRound{candidates: candidates}
+	for _, round := range rounds {
+		if placement.IsSettled(ev.asked.estimates, remaining, ev.policy) {
+			break
+		}
+		ev.asked.add(in.requestEstimates(ctx, req, endpoints, round))
 	}
+	ev.decision = placement.Best(ev.asked.estimates, remaining, ev.policy)
+	return ev
+}
+
+// chooseByEstimate asks a sample of endpoints for wait estimates and selects the
+// best one.
+func (in *Ingress) chooseByEstimate(ctx context.Context, req *request, endpoints []fleet.Endpoint) selection {
+	ev := in.evaluate(ctx, req, endpoints)
+	if ev.only >= 0 {
+		return selection{choice: choice{endpoint: endpoints[ev.only]}, inTime: true}
+	}
+	asked, decision := ev.asked, ev.decision
 	if len(asked.suspected) > 0 && in.maySendTrial(req) && rand.Float64() < suspectedTrialShare {
 		return selection{choice: choice{endpoint: endpoints[asked.suspected[0]], trial: true}, inTime: true}
 	}
-	decision := placement.Best(asked.estimates, remaining, policy)
 	if decision.At < 0 {
 		return selection{noRetriesLeft: asked.noRetriesLeft}
 	}
@@ -93,9 +115,12 @@
 	// noRetriesLeft means that at least one gate had no retry left for the
 	// request.
 	noRetriesLeft bool
+	// answers holds all estimates that arrived, also those that reject the request.
+	answers []estimate
 }
 
 func (ro *estimateRound) add(estimates []estimate) {
+	ro.answers = append(ro.answers, estimates...)
 	for _, est := range estimates {
 		switch {
 		case est.answer.Rejected == outcome.RetryBudgetExhausted:
@@ -118,10 +143,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, estimateTimeout)
 	defer cancel()
+	in.countEstimates(endpoints, sample)
 	answers := make(chan estimate, len(sample))
 	for _, index := range sample {
 		go func() {
 			estimateReq := wire.WaitEstimateRequest{Upstream: endpoints[index].Upstream.ID, Kind: req.path.Kind, Rank: req.policy.Rank, OrganisationRank: req.organisationRank(), Idempotent: req.policy.Idempotent, TargetRemaining: req.remainingTarget(in.opts.Clock.Now()), Retry: req.isRetry(), AfterTrial: req.afterTrial, KnownLimit: in.tracker.limit(endpoints[index].Key)}
+			if req.poolPolicy.CostAware {
+				estimateReq.Firm, estimateReq.CostClass = req.runRequest.Firm, req.runRequest.CostClass
+			}
 			answer, err := in.opts.Runner.EstimateWait(ctx, endpoints[index], estimateReq)
 			in.recordEstimate(endpoints[index], answer, err)
 			answers <- estimate{index: index, answer: answer, err: err}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -35,6 +35,7 @@
 	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/placement"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/settingsync"
 	"cactusstream.example/core/throttle"
@@ -93,6 +94,7 @@
 	budgets       sync.Map     // *budget.Budget by service.
 	throttles     sync.Map     // *throttle.Throttle by throttleKey.
 	usage         usage
+	sizes         placement.Sizes
 }
 
 // shutdown is the time span in which the daemon shuts down. Requests that still run at
@@ -127,6 +129,7 @@
 	// callerAtFault means that the request is rejected for its credentials or its quota,
 	// which says nothing about the services that this VM depends on.
 	callerAtFault bool
+	bodyBytes     int
 	attempts      int
 	// possibleRuns counts the attempts that may have run at an upstream.
 	possibleRuns int
@@ -257,12 +260,8 @@
 	if !found {
 		return req, req.reject(outcome.NoRoute, "no configured kind of request matches this method and path")
 	}
-	req.policy = current.Resolver.Policy(path)
-	if service := req.policy.Split.Choose(rand.Float64()); service != "" {
-		path.Service = service
-	}
-	req.path = path
-	req.poolPolicy = current.Resolver.Policy(settings.Path{Firm: in.opts.Firm, Place: in.opts.Place, Service: path.Service})
+	in.applyRoute(req, current, path)
+	path = req.path
 	if req.policy.Idempotent {
 		req.hasCallerKey = false
 	}
@@ -295,14 +294,25 @@
 	case err != nil:
 		return req, req.reject(outcome.BadRequest, "the body could not be read")
 	}
+	req.bodyBytes = len(body)
 	req.runRequest = wire.RunRequest{
 		Request: req.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: req.policy.Rank, OrganisationRank: req.organisationRank(), Idempotent: req.policy.Idempotent,
 		Method: httpReq.Method, Host: httpReq.Host, URI: httpReq.URL.RequestURI(), Header: in.forwardHeader(httpReq.Header, req, caller), Body: body,
-		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target,
+		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target, CostClass: req.costClass(httpReq.URL.Path, len(body)),
 	}
 	return req, nil
 }
 
+// applyRoute resolves the policies of a request from the route that it matches.
+func (in *Ingress) applyRoute(req *request, current *settingsync.Active, path settings.Path) {
+	req.policy = current.Resolver.Policy(path)
+	if service := req.policy.Split.Choose(rand.Float64()); service != "" {
+		path.Service = service
+	}
+	req.path = path
+	req.poolPolicy = current.Resolver.Policy(settings.Path{Firm: in.opts.Firm, Place: in.opts.Place, Service: path.Service})
+}
+
 // awaitSettings returns the settings in force. If there are none yet, it waits
 // up to startupTimeout for them.
 func (in *Ingress) awaitSettings(ctx context.Context) *settingsync.Active {
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -24,6 +24,7 @@
 	ColdPercent      int
 	BoutLength       time.Duration
 	CalmLength       time.Duration
+	CostAware        bool
 	DoubtPercent     int
 	Idempotent       bool
 	Internal         bool
@@ -46,6 +47,7 @@
 	RetryWindow      time.Duration
 	QueueLimit       int
 	Quotes           int
+	ZoneByteCost     time.Duration
 	ZoneCost         time.Duration
 	ZoneSpillPercent int
 	ClaimHolders     claim.Table
