--- a/cactusd/internal/quota/members.go
+++ b/cactusd/internal/quota/members.go
@@ -24,8 +24,9 @@
 	// membersTimeout is how long a daemon has to return its member set.
 	membersTimeout = 500 * time.Millisecond
 	// aloneDelay is how long a daemon that knows no other one waits before it holds
-	// whole quotas.
-	aloneDelay = time.Second
+	// whole quotas. The only seed of a fleet knows no daemon when it starts, until the
+	// others compare their tables with it.
+	aloneDelay = 3 * time.Second
 	// checkInterval is the interval at which daemons that have been silent for long are
 	// checked, checkTimeout the time to wait for one, and maxChecked their number.
 	checkInterval = 5 * time.Second
--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -18,13 +18,13 @@
 	// nearAsked is the number of holders that are asked in the own zone first, before
 	// the zone no longer matters.
 	nearAsked = 2
-	// Each request adds askCreditRequest to the calls that an organisation may cause
-	// beyond the first of each request, and each granted token askCreditGrant, up to
-	// maxAskCredit. Far above the limit, most calls are refused and cost more than
-	// they find.
+	// Each request adds askCreditRequest to the calls that an organisation may cause,
+	// and each granted token askCreditGrant, up to minAskCredit and the burst, which may
+	// arrive at one daemon. Far above the limit, most calls are refused and cost more
+	// than they find.
 	askCreditRequest = 0.5
 	askCreditGrant   = 4
-	maxAskCredit     = 20
+	minAskCredit     = 10
 	// returnedRetention is how long returned tokens are kept for the next call.
 	returnedRetention = 500 * time.Millisecond
 	// isolatedInterval is the time between two requests that an isolated daemon admits.
@@ -151,7 +151,7 @@
 	as.sweep(now)
 	org := as.orgs[ask.Organisation]
 	if org == nil {
-		org = &organisation{name: ask.Organisation, key: hashOf(ask.Organisation), credit: maxAskCredit, accounts: make(map[*peer]*account)}
+		org = &organisation{name: ask.Organisation, key: hashOf(ask.Organisation), credit: minAskCredit + ask.Burst, accounts: make(map[*peer]*account)}
 		as.orgs[ask.Organisation] = org
 	}
 	org.usedAt = now
@@ -178,12 +178,15 @@
 // advance decides a request, or asks the next holder. The own bucket comes first.
 func (as *asker) advance(now time.Time, req *request, res *Result) {
 	if len(req.tried) == 0 {
-		ans, _ := as.holder.serve(now, req.ask)
+		ans, holds := as.holder.serve(now, req.ask)
 		if ans.Granted > 0 {
 			as.decide(req, Decision{Verdict: Verdict{Outcome: Admitted}}, res)
 			return
 		}
-		req.ownRetry = ans.RetryAfter
+		req.ownRetry = time.Duration(math.MaxInt64)
+		if holds {
+			req.ownRetry = ans.RetryAfter
+		}
 	}
 	best, earliest, reachable := as.choose(now, req)
 	switch {
@@ -202,7 +205,7 @@
 }
 
 func (org *organisation) addCredit(amount float64) {
-	org.credit = math.Min(org.credit+amount, maxAskCredit)
+	org.credit = math.Min(org.credit+amount, minAskCredit+org.limit.Burst)
 }
 
 // choose returns the best holder to ask next, or nil if none is expected to have a
@@ -214,9 +217,6 @@
 	var best *peer
 	var bestRank float64
 	earliest, reachable := req.ownRetry, len(org.holders) == 1 && org.holders[0] == own && as.holder.holds(now)
-	if earliest == 0 {
-		earliest = retryElsewhere
-	}
 	start := as.rng.IntN(len(org.holders))
 	for i := range org.holders {
 		pe := org.holders[(start+i)%len(org.holders)]
@@ -260,8 +260,8 @@
 // send asks a holder for a request. If a call to the holder is in flight, the request
 // waits for the next one.
 func (as *asker) send(now time.Time, req *request, pe *peer, res *Result) {
-	req.tried = append(req.tried, pe)
 	req.org.addCredit(-1)
+	req.tried = append(req.tried, pe)
 	acc := req.org.accounts[pe]
 	if acc == nil {
 		acc = &account{level: req.org.share.depth, at: now}
--- a/core/quota/members.go
+++ b/core/quota/members.go
@@ -125,13 +125,22 @@
 func (ro *roster) expire(now time.Time) {
 	for _, pe := range slices.Clone(ro.peers) {
 		silent := now.Sub(pe.lastAlive)
-		if !pe.Alive && pe.ID != ro.self && (silent >= silentRetention || pe.stopped && silent >= stoppedRetention) {
+		if pe.Alive || silent < stoppedRetention {
+			continue
+		}
+		if silent >= silentRetention || pe.stopped || ro.isReplaced(pe) {
 			ro.remove(now, pe)
 		}
 	}
 	ro.removed = slices.DeleteFunc(ro.removed, func(re removal) bool { return now.Sub(re.at) > removalMemory })
 }
 
+// isReplaced reports whether another daemon has the address of one that is silent, so
+// that this one has stopped.
+func (ro *roster) isReplaced(silent *peer) bool {
+	return silent.Address != "" && slices.ContainsFunc(ro.peers, func(pe *peer) bool { return pe.Alive && pe.Address == silent.Address })
+}
+
 func (ro *roster) add(mem Member, lastAlive time.Time) {
 	pe := &peer{Member: mem, hash: hashOf(mem.ID), lastAlive: lastAlive}
 	ro.removed = slices.DeleteFunc(ro.removed, func(re removal) bool { return re.hash == pe.hash })
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -14,6 +14,14 @@
 	replaySeeds   = 2
 )
 
+// maxMessages and maxCrossing limit the calls and answers of a replay in calm, in all and
+// between zones, as parts of the requests. Far above the limit, most requests must be
+// refused without a call.
+const (
+	maxMessages = 3
+	maxCrossing = 1.2
+)
+
 // replay is a load of one organisation under faults, and the part of what a single
 // token bucket admits that the fleet must admit at least.
 type replay struct {
@@ -22,6 +30,8 @@
 	share        float64
 	pick         func(*fakeFleet) func() *fakeDaemon
 	faults       func(*fakeFleet)
+	// calm means that maxMessages and maxCrossing hold.
+	calm bool
 }
 
 // everywhere lets requests arrive at all daemons alike.
@@ -84,10 +94,33 @@
 	}
 }
 
-// freezeSome freezes a daemon for twelve seconds every five seconds.
+// freezeSome freezes a daemon for twelve seconds every five seconds, with its clock or
+// without.
 func freezeSome(fl *fakeFleet) {
 	for i := range 10 {
-		fl.after(time.Duration(5+5*i)*time.Second, func() { fl.freeze(fl.any(), 12*time.Second) })
+		fl.after(time.Duration(5+5*i)*time.Second, func() { fl.freeze(fl.any(), 12*time.Second, i%2 == 0) })
+	}
+}
+
+// restartAtOnce restarts all daemons at the same time.
+func restartAtOnce(fl *fakeFleet) {
+	fl.after(10*time.Second, func() {
+		for _, da := range fl.daemons {
+			fl.boot(da)
+		}
+	})
+}
+
+// restartCutOff restarts daemons that are cut off. They start with the member tables of
+// those that are cut off with them.
+func restartCutOff(fl *fakeFleet) {
+	cut(time.Second, replayTime)(fl)
+	for i, da := range fl.daemons {
+		fl.after(10*time.Second+time.Duration(i)*500*time.Millisecond, func() {
+			if da.group > 0 {
+				fl.boot(da)
+			}
+		})
 	}
 }
 
@@ -100,7 +133,7 @@
 
 // run replays a load. It fails if any window holds more than the bound, or a request
 // waits for too long.
-func (re replay) run(t *testing.T, seed uint64) float64 {
+func (re replay) run(t *testing.T, seed uint64) (*fakeFleet, float64) {
 	t.Helper()
 	fl := newFakeFleet(seed, replayDaemons, replayZones)
 	limit := Limit{re.rate, re.rate}
@@ -117,16 +150,21 @@
 	is := is.New(t)
 	is.True(highest <= 1)
 	is.True(fl.slowest <= maxAskTime+CallTimeout)
-	return share
+	return fl, share
 }
 
 func runReplays(t *testing.T, replays []replay) {
 	t.Helper()
 	for _, re := range replays {
 		for seed := range uint64(replaySeeds) {
-			if share := re.run(t, seed); share < re.share {
+			fl, share := re.run(t, seed)
+			if share < re.share {
 				t.Errorf("%s, %g/s of %g/s, seed %d: share %.3f, want %.3f", re.name, re.demand, re.rate, seed, share, re.share)
 			}
+			requests := float64(len(fl.arrivals))
+			if re.calm && (float64(fl.messages) > maxMessages*requests || float64(fl.crossing) > maxCrossing*requests) {
+				t.Errorf("%s, %g/s of %g/s, seed %d: %d messages, %d of them between zones, for %g requests", re.name, re.demand, re.rate, seed, fl.messages, fl.crossing, requests)
+			}
 		}
 	}
 }
@@ -136,16 +174,16 @@
 // used up or exceeded far above the limit.
 func TestCalmFleetAdmitsTheQuota(t *testing.T) {
 	runReplays(t, []replay{
-		{"calm", 5, 1, 0.98, everywhere, calm},
-		{"calm", 5, 3, 0.98, everywhere, calm},
-		{"calm", 5, 45, 0.98, everywhere, calm},
-		{"calm", 24, 15, 0.98, everywhere, calm},
-		{"calm", 71, 44, 0.98, everywhere, calm},
-		{"calm", 163, 102, 0.98, everywhere, calm},
-		{"calm", 163, 928, 0.98, everywhere, calm},
-		{"gathered", 5, 3, 0.98, gathered, calm},
-		{"gathered", 24, 135, 0.98, gathered, calm},
-		{"gathered", 163, 102, 0.98, gathered, calm},
+		{"calm", 5, 1, 0.98, everywhere, calm, true},
+		{"calm", 5, 3, 0.98, everywhere, calm, true},
+		{"calm", 5, 45, 0.98, everywhere, calm, true},
+		{"calm", 24, 15, 0.98, everywhere, calm, true},
+		{"calm", 71, 44, 0.98, everywhere, calm, true},
+		{"calm", 163, 102, 0.98, everywhere, calm, true},
+		{"calm", 163, 928, 0.98, everywhere, calm, true},
+		{"gathered", 5, 3, 0.98, gathered, calm, true},
+		{"gathered", 24, 135, 0.98, gathered, calm, true},
+		{"gathered", 163, 102, 0.98, gathered, calm, true},
 	})
 }
 
@@ -154,14 +192,16 @@
 // without holders serves nothing of.
 func TestDaemonsCutOff(t *testing.T) {
 	runReplays(t, []replay{
-		{"cut", 5, 1, 0.93, everywhere, cut(15*time.Second, 55*time.Second)},
-		{"cut", 24, 15, 0.94, everywhere, cut(15*time.Second, 55*time.Second)},
-		{"cut", 163, 102, 0.98, everywhere, cut(15*time.Second, 55*time.Second)},
-		{"cut for long", 24, 135, 0.9, everywhere, cut(time.Second, replayTime)},
-		{"cut for long", 5, 45, 0.9, everywhere, cut(time.Second, replayTime)},
-		{"cut each", 5, 1, 0.7, everywhere, cutEach(15*time.Second, 55*time.Second)},
-		{"cut each", 5, 45, 0.9, everywhere, cutEach(15*time.Second, 55*time.Second)},
-		{"cut each", 163, 102, 0.9, everywhere, cutEach(15*time.Second, 55*time.Second)},
+		{"cut", 5, 1, 0.93, everywhere, cut(15*time.Second, 55*time.Second), false},
+		{"cut", 24, 15, 0.94, everywhere, cut(15*time.Second, 55*time.Second), false},
+		{"cut", 163, 102, 0.98, everywhere, cut(15*time.Second, 55*time.Second), false},
+		{"cut for long", 24, 135, 0.9, everywhere, cut(time.Second, replayTime), false},
+		{"cut for long", 5, 45, 0.9, everywhere, cut(time.Second, replayTime), false},
+		{"cut off and restarted", 24, 135, 0.9, everywhere, restartCutOff, false},
+		{"cut off and restarted", 163, 928, 0.9, everywhere, restartCutOff, false},
+		{"cut each", 5, 1, 0.7, everywhere, cutEach(15*time.Second, 55*time.Second), false},
+		{"cut each", 5, 45, 0.9, everywhere, cutEach(15*time.Second, 55*time.Second), false},
+		{"cut each", 163, 102, 0.9, everywhere, cutEach(15*time.Second, 55*time.Second), false},
 	})
 }
 
@@ -169,17 +209,19 @@
 // killed, restarted or frozen, or don't know the method.
 func TestDaemonsRestart(t *testing.T) {
 	runReplays(t, []replay{
-		{"half killed", 5, 1, 0.9, everywhere, killHalf(10 * time.Second)},
-		{"half killed", 24, 135, 0.85, everywhere, killHalf(10 * time.Second)},
-		{"half killed", 163, 102, 0.9, everywhere, killHalf(10 * time.Second)},
+		{"half killed", 5, 1, 0.9, everywhere, killHalf(10 * time.Second), false},
+		{"half killed", 24, 135, 0.85, everywhere, killHalf(10 * time.Second), false},
+		{"half killed", 163, 102, 0.9, everywhere, killHalf(10 * time.Second), false},
 		// For a minute, the holders that live have half of the quota.
-		{"half killed for long", 24, 15, 0.8, everywhere, killHalf(75 * time.Second)},
-		{"all restarted", 5, 1, 0.93, everywhere, restartAll},
-		{"all restarted", 24, 135, 0.9, everywhere, restartAll},
-		{"all restarted", 163, 102, 0.95, everywhere, restartAll},
-		{"some frozen", 24, 15, 0.93, everywhere, freezeSome},
-		{"some frozen", 24, 135, 0.93, everywhere, freezeSome},
-		{"old programs", 24, 15, 0.9, everywhere, runOldPrograms},
+		{"half killed for long", 24, 15, 0.8, everywhere, killHalf(75 * time.Second), false},
+		{"all restarted", 5, 1, 0.93, everywhere, restartAll, false},
+		{"all restarted", 24, 135, 0.9, everywhere, restartAll, false},
+		{"all restarted", 163, 102, 0.95, everywhere, restartAll, false},
+		{"restarted at once", 24, 135, 0.9, everywhere, restartAtOnce, false},
+		{"restarted at once", 163, 928, 0.9, everywhere, restartAtOnce, false},
+		{"some frozen", 24, 15, 0.93, everywhere, freezeSome, false},
+		{"some frozen", 24, 135, 0.93, everywhere, freezeSome, false},
+		{"old programs", 24, 15, 0.9, everywhere, runOldPrograms, false},
 	})
 }
 
@@ -187,13 +229,13 @@
 // time and spent in a window together with those of the window.
 func TestReturnedTokensKeepTheBound(t *testing.T) {
 	for _, re := range []replay{
-		{"returned", 24, 135, 0, everywhere, func(fl *fakeFleet) { fl.returns = 0.5 }},
+		{"returned", 24, 135, 0, everywhere, func(fl *fakeFleet) { fl.returns = 0.5 }, false},
 		{"returned at times", 24, 135, 0, gathered, func(fl *fakeFleet) {
 			for i := range 9 {
 				fl.after(time.Duration(10*i)*time.Second, func() { fl.returns = 1 })
 				fl.after(time.Duration(10*i+3)*time.Second, func() { fl.returns = 0 })
 			}
-		}},
+		}, false},
 	} {
 		for seed := range uint64(replaySeeds) {
 			re.run(t, seed)
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -52,7 +52,8 @@
 	old      bool // Runs a program that doesn't know the method.
 	group    int
 	frozen   bool
-	held     []func() // What happens once the daemon is no longer frozen.
+	lag      time.Duration // How far the clock of the daemon is behind.
+	held     []func()      // What happens once the daemon is no longer frozen.
 	seen     []time.Time
 	view     []Member
 	asked    map[uint64]time.Time // When the requests started that are not decided.
@@ -110,6 +111,9 @@
 	fl.now = end
 }
 
+// clock returns the time on a daemon.
+func (fl *fakeFleet) clock(da *fakeDaemon) time.Time { return fl.now.Add(-da.lag) }
+
 func (fl *fakeFleet) reach(a, b *fakeDaemon) bool {
 	return a.up && b.up && a.group == b.group && !a.frozen && !b.frozen
 }
@@ -132,7 +136,7 @@
 	alone := true
 	for _, other := range fl.daemons {
 		if other != da && fl.reach(da, other) {
-			da.node.Merge(fl.now, other.node.Past(fl.now))
+			da.node.Merge(fl.clock(da), other.node.Past(fl.clock(other)))
 			alone = false
 			break
 		}
@@ -141,7 +145,7 @@
 		fl.after(joinTime, func() { fl.join(da, start) })
 		return
 	}
-	da.node.Join(fl.now)
+	da.node.Join(fl.clock(da))
 	fl.look(da, start)
 }
 
@@ -166,11 +170,11 @@
 	}
 	if !slices.Equal(view, da.view) {
 		da.view = view
-		da.node.SetMembers(fl.now, view)
+		da.node.SetMembers(fl.clock(da), view)
 	}
-	for _, mem := range da.node.Silent(fl.now) {
+	for _, mem := range da.node.Silent(fl.clock(da)) {
 		if other := fl.byID(mem.ID); !other.up && other.group == da.group {
-			da.node.MarkStopped(fl.now, mem.ID)
+			da.node.MarkStopped(fl.clock(da), mem.ID)
 		}
 	}
 }
@@ -220,14 +224,14 @@
 		finish := func(ans Answer, ok bool) {
 			if !answered && da.up && da.start == start {
 				answered = true
-				fl.perform(da, da.node.Finish(fl.now, call.ID, ans, ok))
+				fl.perform(da, da.node.Finish(fl.clock(da), call.ID, ans, ok))
 			}
 		}
 		to := fl.byID(call.Holder)
 		fl.deliver(da, to, func() {
 			var ans Answer
 			if !to.old {
-				ans = to.node.Serve(fl.now, call.Ask)
+				ans = to.node.Serve(fl.clock(to), call.Ask)
 			}
 			fl.deliver(to, da, func() { finish(ans, !to.old) })
 		})
@@ -248,7 +252,7 @@
 		return
 	}
 	node := da.node
-	fl.after(returnDelay, func() { node.Return(fl.now, organisationName) })
+	fl.after(returnDelay, func() { node.Return(fl.clock(da), organisationName) })
 }
 
 // request lets a request arrive at a daemon.
@@ -258,7 +262,7 @@
 	}
 	fl.arrivals = append(fl.arrivals, fl.now)
 	limit := da.limit
-	id, res := da.node.Take(fl.now, Ask{Organisation: organisationName, PerSecond: limit.PerSecond, Burst: limit.Burst, Version: da.version})
+	id, res := da.node.Take(fl.clock(da), Ask{Organisation: organisationName, PerSecond: limit.PerSecond, Burst: limit.Burst, Version: da.version})
 	da.asked[id] = fl.now
 	fl.perform(da, res)
 }
@@ -298,11 +302,15 @@
 	}
 }
 
-// freeze stops a daemon for a period. Its clock goes on.
-func (fl *fakeFleet) freeze(da *fakeDaemon, d time.Duration) {
+// freeze stops a daemon for a period, and its clock if clockStops is set.
+func (fl *fakeFleet) freeze(da *fakeDaemon, d time.Duration, clockStops bool) {
 	da.frozen = true
+	clear(da.asked) // Their time would include the freeze.
 	fl.after(d, func() {
 		da.frozen = false
+		if clockStops {
+			da.lag += d
+		}
 		held := da.held
 		da.held = nil
 		for _, run := range held {
