--- a/cactusd/internal/quota/quota_test.go
+++ b/cactusd/internal/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -167,3 +168,35 @@
 	time.Sleep(time.Second)
 	is.Equal(fl.quotas[0].Take(context.Background(), org).Outcome, corequota.Admitted)
 }
+
+// TestStartedDaemonLearnsSilentOnes guards against a daemon that starts while others are
+// cut off, and takes over what they hold because its member table lacks them.
+func TestStartedDaemonLearnsSilentOnes(t *testing.T) {
+	is := is.New(t)
+	fl := startFleet(t, 2, 0)
+	members := maps.Clone(fl.view.Load().Members)
+	members["d8"] = member.Record{ID: "d8", PeerAddress: "127.0.0.1:1"}
+	fl.view.Store(&fleet.View{Members: members})
+	fl.quotas[0].Tick()
+	members = maps.Clone(members)
+	members["d8"] = member.Record{ID: "d8", PeerAddress: "127.0.0.1:1", Status: member.Dead}
+	fl.view.Store(&fleet.View{Members: members})
+	fl.quotas[0].Tick()
+	is.Equal(fl.quotas[0].Dump()["members"], 3)
+	delete(members, "d8")
+	delete(members, "d1")
+	mux, tokens := link.NewMux(), auth.NewTokens("a-token-for-the-tests")
+	pool := link.NewPool("d9", tokens, mux)
+	defer pool.Close()
+	started := quota.New(quota.Options{
+		Clock: clock.Real{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Mux: mux, Pool: pool, Self: "d9", Zone: "z",
+		View: fl.view.Load, HasJoined: func() bool { return true }, SettingsVersion: func() uint64 { return 1 },
+	})
+	deadline := time.Now().Add(10 * time.Second)
+	for started.Dump()["joined"] != true {
+		is.True(time.Now().Before(deadline))
+		started.Tick()
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(started.Dump()["members"], 4) // Those that d0 knows, and itself.
+}
--- a/core/quota/node_test.go
+++ b/core/quota/node_test.go
@@ -293,3 +293,57 @@
 	node.Take(now.Add(2*bucketRetention), askFor(Limit{5, 5}, 1))
 	is.Equal(len(node.Uses(now, organisations)), 1)
 }
+
+// TestRefusedCallersComeBackInTurn guards against callers that all come back for the
+// same token.
+func TestRefusedCallersComeBackInTurn(t *testing.T) {
+	is := is.New(t)
+	node, now := joinedNode("d0", testMembers(1))
+	limit := Limit{10, 10}
+	node.Serve(now, askFor(limit, 1000))
+	now = now.Add(time.Second)
+	node.Serve(now, askFor(limit, int(node.Uses(now, 1)[0].Held)))
+	first := node.Serve(now, askFor(limit, 1)).RetryAfter
+	second := node.Serve(now, askFor(limit, 1)).RetryAfter
+	is.Equal(second-first, 100*time.Millisecond)
+}
+
+// TestReturnedTokensHaveALimit guards against requests that wait for long and all turn
+// out not to run in the same window, which would run their tokens in it.
+func TestReturnedTokensHaveALimit(t *testing.T) {
+	is := is.New(t)
+	node, now := joinedNode("d0", testMembers(1))
+	limit := Limit{10, 10}
+	node.Serve(now, askFor(limit, 1000))
+	ask := askFor(limit, 1000)
+	ask.Returned = 1000
+	is.True(node.Serve(now, ask).Granted <= returnAllowance+1) // And what is left of a token.
+	is.Equal(node.Serve(now, ask).Granted, 0)
+}
+
+// TestIsolatedDaemons guards against daemons that reach no holder and together admit more
+// than the bound leaves, and against an organisation that none of them serves.
+func TestIsolatedDaemons(t *testing.T) {
+	is := is.New(t)
+	members, limit := testMembers(91), Limit{5, 5}
+	_, others := holdersOf(members, limit)
+	alone := slices.Clone(members)
+	for i := range alone {
+		alone[i].Alive = false
+	}
+	admitted := 0
+	for _, id := range others {
+		node, now := joinedNode(id, members)
+		node.SetMembers(now, alone)
+		for range 100 {
+			_, res := node.Take(now, askFor(limit, 1))
+			if res.Decisions[0].Verdict.Outcome == Admitted {
+				admitted++
+			} else {
+				is.Equal(res.Decisions[0].Verdict.Outcome, Unavailable)
+			}
+			now = now.Add(window / 100)
+		}
+	}
+	is.Equal(admitted, limit.isolated())
+}
