feat(quota): a holder applies the limit of its own newer settings

A caller with older settings asked daemons that hold nothing by the newer limit, and that no caller with the newer settings asks, so they granted by the older one.

--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -103,6 +103,7 @@
 	name          string
 	key           uint64
 	limit         Limit
+	version       uint64 // Of the settings that hold the limit.
 	rosterVersion uint64
 	share         share
 	holders       []*peer
@@ -154,7 +155,7 @@
 		org = &organisation{name: ask.Organisation, key: hashOf(ask.Organisation), credit: minAskCredit + ask.Burst, accounts: make(map[*peer]*account)}
 		as.orgs[ask.Organisation] = org
 	}
-	org.usedAt = now
+	org.usedAt, org.version = now, ask.Version
 	as.refresh(org, Limit{PerSecond: ask.PerSecond, Burst: ask.Burst})
 	return org
 }
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -82,8 +82,12 @@
 // Cancel forgets a request that nobody waits for.
 func (no *Node) Cancel(id uint64) { no.asker.cancel(id) }
 
-// Serve answers the call of another daemon.
+// Serve answers the call of another daemon. If this daemon has newer settings, their
+// limit holds: by the older one, it might be a holder that nobody else asks.
 func (no *Node) Serve(now time.Time, ask Ask) Answer {
+	if org := no.asker.orgs[ask.Organisation]; org != nil && org.version > ask.Version {
+		ask.PerSecond, ask.Burst, ask.Version = org.limit.PerSecond, org.limit.Burst, org.version
+	}
 	ans, _ := no.holder.serve(now, ask)
 	return ans
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -289,3 +289,25 @@
 	is.Equal(take(), Admitted)
 	is.Equal(take(), OverLimit)
 }
+
+// TestNewestLimitHolds guards against a daemon without a lowered limit, because it reaches
+// no keeper, that gets tokens by the limit that it has.
+func TestNewestLimitHolds(t *testing.T) {
+	is := is.New(t)
+	fl := newFakeFleet(1, replayDaemons, replayZones)
+	high, low := Limit{71, 71}, Limit{5, 5}
+	fl.setLimit(high, 0)
+	fl.run(10 * time.Second)
+	fl.load(200, 40*time.Second, fl.any)
+	fl.load(50, 40*time.Second, func() *fakeDaemon { return fl.daemons[0] })
+	fl.run(10 * time.Second)
+	for _, da := range fl.daemons[1:] {
+		da.limit = low
+		da.version++
+	}
+	fl.run(4 * time.Second)
+	lowered := len(fl.starts)
+	fl.run(20 * time.Second)
+	is.True(float64(most(fl.starts[lowered:])) <= bound(low))
+	is.True(len(fl.starts[lowered:]) >= 95) // 20 s of 5 requests a second.
+}
