--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -104,6 +104,9 @@
 	UpstreamTokens *auth.Tokens
 	SettingsKeys   func() []ed25519.PublicKey
 	TLS            *auth.TLS
+	// OmitStreams makes the daemon pass on bodies only whole, in one message, as versions
+	// before streams do.
+	OmitStreams bool
 }
 
 // Daemon is a cactusd instance.
--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -43,20 +43,31 @@
 	return strings.TrimPrefix(srv.URL, "http://"), key
 }
 
+// pairSlots is the number of slots of the upstream of a pair.
+const pairSlots = 120
+
 // pair is two daemons: requests arrive at the first one, and the only upstream is beside
 // the second one.
 type pair struct {
+	// upstream is the address of the upstream.
+	upstream    string
 	callers     string
 	front, back *daemon.Daemon
 }
 
-func newPair(t *testing.T, upstream http.HandlerFunc) *pair {
+func newPair(t *testing.T, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
+	t.Helper()
+	return newPairOf(t, 8_000_000, upstream, edits...)
+}
+
+// newPairOf is like newPair, with a limit for bodies.
+func newPairOf(t *testing.T, bodyLimit int, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
 	t.Helper()
 	tree := settings.NewTree().Apply([]settings.Edit{
 		{Path: "*/*/s/order", Key: "path", Value: "/order"},
 		{Path: "*/*/s/order", Key: "method", Value: "POST"},
 		{Path: "*/*/s/order", Key: "deadline", Value: "20s"},
-		{Path: "*/*/s/order", Key: "bodyLimit", Value: "8000000"},
+		{Path: "*/*/s/order", Key: "bodyLimit", Value: fmt.Sprint(bodyLimit)},
 		{Path: "*/*", Key: "retryAttempts", Value: "1"},
 		{Path: "*/*", Key: "slowStart", Value: "0s"},
 	})
@@ -66,12 +77,16 @@
 		return startDaemon(t, id, peer, frontPeer, func(opts *daemon.Options) {
 			opts.CallerAddress, opts.Callers = callers, dialect.Caller{Deadline: "X-Left", StrictRejections: true}
 			opts.Keepers, opts.SettingsKeys = []string{keeper}, func() []ed25519.PublicKey { return []ed25519.PublicKey{key} }
+			for _, edit := range edits {
+				edit(id, opts)
+			}
 		})
 	}
 	pa := &pair{callers: callers, front: start("d1", frontPeer, callers), back: start("d2", freeAddress(t), freeAddress(t))}
 	srv := httptest.NewServer(upstream)
 	t.Cleanup(srv.CloseClientConnections)
-	ann := daemon.Announcement{ID: "u", Service: "s", Address: strings.TrimPrefix(srv.URL, "http://"), Slots: 16, Connections: 99}
+	pa.upstream = strings.TrimPrefix(srv.URL, "http://")
+	ann := daemon.Announcement{ID: "u", Service: "s", Address: pa.upstream, Slots: pairSlots, Connections: pairSlots}
 	if err := pa.back.Announce(ann); err != nil {
 		t.Fatal(err)
 	}
