feat(stream): large bodies stream between caller and upstream

Cause: a body travelled whole in one message between daemons. One of 64 MiB, which settings allow, ended with a connection reset, and 300 callers that didn't read answers of 6 MB took a daemon to 3.2 GB.

Change: core/stream passes a large body over a connection of its own, fetched under a random token with the fleet's credentials. Request bodies over 256 KiB and answers over 1 MiB use it; smaller ones travel as before. A gate fetches a body once the request has a slot, and keeps the slot until the upstream's answer is read. A body of which a byte was fetched is never sent again. A gate that doesn't know streams rejects the method gate.runStream, so that it can't run a request without its body.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -49,6 +49,7 @@
 	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/process"
 	"cactusstream.example/core/settingsync"
+	"cactusstream.example/core/stream"
 )
 
 const (
@@ -116,10 +117,12 @@
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 
-	metrics  *metrics.Registry
-	replica  *settingsync.Replica
-	pool     *link.Pool
-	links    *link.Server
+	metrics *metrics.Registry
+	replica *settingsync.Replica
+	pool    *link.Pool
+	links   *link.Server
+	// streams is nil if the daemon passes on bodies only whole.
+	streams  *stream.Registry
 	fleet    *fleet.Fleet
 	gate     *gate.Gate
 	claims   *claims.Claims
@@ -138,12 +141,16 @@
 	da.replica = settingsync.NewReplica(opts.SettingsKeys)
 	da.pool = link.NewPool(opts.Config.ID, opts.FleetTokens, mux, link.WithTLS(opts.TLS.Client()))
 	da.links = link.NewServer(mux, opts.FleetTokens, da.logRefusedCredentials)
+	if !opts.OmitStreams {
+		da.streams = stream.New(stream.Options{Address: opts.Config.PeerAddress, Log: opts.Log, Metrics: da.metrics, Tokens: opts.FleetTokens, OnUnauthorized: da.logRefusedCredentials, TLS: opts.TLS.Client()})
+	}
 	var err error
 	da.fleet, err = fleet.New(fleet.Options{
 		Clock: opts.Clock, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Mux: mux, Pool: da.pool,
 		Self: member.Record{
 			ID: opts.Config.ID, Zone: opts.Config.Zone, PeerAddress: opts.Config.PeerAddress,
 			OperatorAddress: opts.Config.OperatorAddress, Version: member.Version{Incarnation: uint64(da.started.UnixNano())},
+			Streams: !opts.OmitStreams,
 		},
 		Listen: opts.Config.PeerListenAddress(), Seeds: opts.Seeds, Tokens: opts.FleetTokens, Firm: opts.Firm, Place: opts.Place, RandomSeed: uint64(da.started.UnixNano()),
 	})
@@ -151,10 +158,10 @@
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
 	bodies := bodybuffer.New(maxBodyMemory)
-	da.gate = gate.New(gate.Options{Bodies: bodies, Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, Inherited: da.inheritedDepartures, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
+	da.gate = gate.New(gate.Options{Bodies: bodies, Streams: da.streams, Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, Inherited: da.inheritedDepartures, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
 	ingressOpts := ingress.Options{
-		Bodies: bodies,
-		Clock:  opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
+		Bodies: bodies, Streams: da.streams,
+		Clock: opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
 		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
 		Services: opts.ServiceTokens, View: da.fleet.View, Zone: opts.Config.Zone,
 		SettingsConfirmed: func() bool { return da.follower.IsConfirmed() },
@@ -173,12 +180,18 @@
 		return da.gate.Run(ctx, req), nil
 	})
 	mux.Await(wire.MethodRun)
+	if da.streams != nil {
+		link.Handle(mux, wire.MethodRunStream, func(ctx context.Context, _ string, req wire.RunRequest) (wire.RunAnswer, error) {
+			return da.gate.Run(ctx, req), nil
+		})
+		mux.Await(wire.MethodRunStream)
+	}
 	link.Handle(mux, wire.MethodEstimateWait, func(_ context.Context, _ string, req wire.WaitEstimateRequest) (wire.WaitEstimate, error) {
 		return da.gate.EstimateWait(req), nil
 	})
 	link.HandleNotice(mux, wire.MethodWithdraw, func(_ string, wit wire.Withdrawal) { da.gate.Withdraw(wit) })
 	da.callers = process.NewServer(opts.CallerAddress, da.ingress, nil)
-	da.peers = process.NewServer(opts.Config.PeerListenAddress(), da.links, opts.TLS.Server(true))
+	da.peers = process.NewServer(opts.Config.PeerListenAddress(), da.peersHandler(), opts.TLS.Server(true))
 	da.operators = process.NewServer(opts.Config.OperatorAddress, da.operatorsHandler(), opts.TLS.Server(false))
 	return da, nil
 }
@@ -244,9 +257,15 @@
 		da.claims.Wait()
 	}
 	da.drainLinks(ctx) // Before the others close their links to a daemon that has left.
+	if da.streams != nil {
+		da.streams.Drain(ctx.Done()) // Answers that the gate has read may not be written yet.
+	}
 	da.fleet.Leave()
 	err = errors.Join(err, da.operators.Shutdown(ctx))
 	da.cancel()
+	if da.streams != nil {
+		da.streams.Close()
+	}
 	da.links.Close()
 	da.pool.Close()
 	da.peers.Close()
@@ -336,6 +355,17 @@
 	}
 }
 
+// peersHandler returns the handler for the links and the streams of other daemons.
+func (da *Daemon) peersHandler() http.Handler {
+	if da.streams == nil {
+		return da.links
+	}
+	mux := http.NewServeMux()
+	mux.Handle(stream.Path, da.streams)
+	mux.Handle("/", da.links)
+	return mux
+}
+
 func (da *Daemon) operatorsHandler() http.Handler {
 	ops := process.NewOperatorAPI(da.opts.OperatorTokens, da.status, da.Dump, da.metrics)
 	process.Mount(ops.Mux(), fleetserver.New, fleetserver.Mount, genfleet.NewEndpoints(fleet.NewService(da.fleet)))
@@ -372,6 +402,9 @@
 		"links":     da.pool.Statuses(),
 		"upstreams": da.fleet.View().Pools,
 	}
+	if da.streams != nil {
+		dump["streams"] = da.streams.Dump()
+	}
 	if da.claims != nil {
 		dump["claims"] = da.claims.Dump()
 	}
--- a/cactusd/daemon/runner.go
+++ b/cactusd/daemon/runner.go
@@ -22,7 +22,11 @@
 	if endpoint.Daemon == ru.self {
 		return ru.gate.Run(ctx, req), nil
 	}
-	return link.Call[wire.RunRequest, wire.RunAnswer](ctx, ru.pool, endpoint.PeerAddress, wire.MethodRun, req)
+	method := wire.MethodRun
+	if req.BodyStream != nil {
+		method = wire.MethodRunStream
+	}
+	return link.Call[wire.RunRequest, wire.RunAnswer](ctx, ru.pool, endpoint.PeerAddress, method, req)
 }
 
 // EstimateWait returns the wait estimate of an endpoint's gate for a request.
--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -37,6 +37,7 @@
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/rankqueue"
 	"cactusstream.example/core/settings"
+	"cactusstream.example/core/stream"
 )
 
 // Lease is how long an upstream stays registered after its last announcement or
@@ -66,6 +67,8 @@
 	Dialect dialect.Upstream
 	Log     *events.Logger
 	Metrics *metrics.Registry
+	// Streams passes on large bodies. It is nil if bodies are only passed on whole.
+	Streams *stream.Registry
 	// Policy returns the settings that apply to the upstreams of a service.
 	Policy func(service string) *settings.Policy
 	// LastCallFailure returns when a caller on this VM last got a failed
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -80,7 +80,7 @@
 		ann:         ann,
 		opts:        opts,
 		departed:    departed,
-		client:      newUpstreamClient(ann, opts.Dialect, opts.Bodies),
+		client:      newUpstreamClient(ann, opts),
 		queue:       rankqueue.New(ann.concurrency(), queuePolicy(policy)),
 		detector:    health.NewDetector(healthPolicy(policy)),
 		burstFilter: failureburst.NewFilter(burstPolicy(policy)),
@@ -228,7 +228,15 @@
 	monitor := gu.monitorSlow(req)
 	answer, res := gu.client.send(ctx, req)
 	slow := monitor.stop()
-	gu.complete(req, started, health.Result{Failed: res.failed, Slow: slow, Idempotent: req.Idempotent}, res)
+	if res.pending != nil {
+		res.answeredAt = gu.opts.Clock.Now()
+		answer.BodyStream = res.pending.offer(res, func(final sendResult) {
+			gu.complete(req, started, slow, final)
+			gu.logAttempt(req, gu.withLoad(req.Kind, answer), arrived, started)
+		})
+		return gu.withLoad(req.Kind, answer)
+	}
+	gu.complete(req, started, slow, res)
 	answer = gu.withLoad(req.Kind, answer)
 	gu.logAttempt(req, answer, arrived, started)
 	return answer
@@ -375,10 +383,15 @@
 }
 
 // complete records the result of a request and frees its slot.
-func (gu *guard) complete(req wire.RunRequest, started time.Time, res health.Result, sent sendResult) {
+func (gu *guard) complete(req wire.RunRequest, started time.Time, slow bool, sent sendResult) {
+	res := health.Result{Failed: sent.failed, Slow: slow, Idempotent: req.Idempotent}
 	gu.mu.Lock()
 	now := gu.opts.Clock.Now()
-	took := now.Sub(started)
+	held := now.Sub(started)
+	took := held
+	if !sent.answeredAt.IsZero() { // The rest of the time depends on the caller.
+		took = sent.answeredAt.Sub(started)
+	}
 	changed := false
 	gu.updateLimit(now, sent.limit)
 	gu.saidLeaving = gu.saidLeaving || sent.leaving
@@ -386,7 +399,6 @@
 		gu.observeResult(now, started, req, sent)
 		changed = gu.updateSuspicion(now) // Before the slot goes to a queued request.
 	}
-	held := took
 	if sent.failed || sent.rejected || sent.cancelled {
 		held = 0 // Not counted in the averages behind the wait estimates.
 	}
--- a/cactusd/internal/ingress/answer.go
+++ b/cactusd/internal/ingress/answer.go
@@ -26,8 +26,11 @@
 		header.Set(outcome.HeaderAttempts, strconv.Itoa(req.attempts))
 		header.Set(outcome.HeaderOutcome, string(answer.Outcome))
 	}
+	if req.body != nil && !req.body.isRead() {
+		header.Set("Connection", "close") // The caller would take the rest of its body for read.
+	}
 	if answer.Outcome == outcome.Ran {
-		in.writeUpstreamAnswer(wr, answer)
+		in.writeUpstreamAnswer(wr, req, answer)
 		return
 	}
 	text := fmt.Sprintf("%s: %s: %s\n", answer.Outcome, answer.Reason, answer.Detail)
@@ -47,15 +50,21 @@
 }
 
 // writeUpstreamAnswer forwards the response of an upstream.
-func (in *Ingress) writeUpstreamAnswer(wr http.ResponseWriter, answer wire.RunAnswer) {
+func (in *Ingress) writeUpstreamAnswer(wr http.ResponseWriter, req *request, answer wire.RunAnswer) {
 	header := wr.Header()
 	for name, values := range answer.Header {
 		if !strings.HasPrefix(name, outcome.HeaderOutcome) {
 			header[name] = values
 		}
 	}
+	if answer.BodyStream != nil {
+		in.writeStream(wr, req, answer)
+		return
+	}
 	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	wr.WriteHeader(answer.Status)
+	in.opts.Bodies.Hold(answer.Body)
+	defer in.opts.Bodies.Release(answer.Body)
 	_, _ = wr.Write(answer.Body)
 }
 
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -51,7 +51,7 @@
 		if result.answer.Outcome == outcome.Ran {
 			ran = &result.answer
 		}
-		if isSuccess(result.answer) || !result.retryApproved && !in.mayRetry(req, chosen, result.answer) {
+		if isSuccess(result.answer) || req.body.isConsumed() || !result.retryApproved && !in.mayRetry(req, chosen, result.answer) {
 			break
 		}
 	}
@@ -98,7 +98,7 @@
 		return in.finishAttempt(req, chosen, answer)
 	case <-timer.C:
 	}
-	if in.hasAlternative(req, chosen) && (chosen.trial || in.hasRetries(req, 1) && in.takeRetry(req)) {
+	if !req.body.isConsumed() && in.hasAlternative(req, chosen) && (chosen.trial || in.hasRetries(req, 1) && in.takeRetry(req)) {
 		result := in.finishAttempt(req, chosen, wire.Unknown(outcome.Deadline, "the upstream did not respond in time"))
 		result.retryApproved = true
 		return result
@@ -136,6 +136,12 @@
 	if run.Remaining <= 0 {
 		return wire.NotRun(outcome.Deadline, "the deadline has passed")
 	}
+	if req.body != nil {
+		if rejection, rejected := in.attachBody(req, chosen, &run); rejected {
+			return rejection
+		}
+		defer req.body.withdraw()
+	}
 	in.attempts.Store(run.Attempt, chosen.endpoint)
 	defer in.attempts.Delete(run.Attempt)
 	in.tracker.begin(chosen.endpoint.Key)
@@ -147,6 +153,9 @@
 	} else {
 		in.tracker.recordPath(now, chosen.endpoint.Daemon, true)
 	}
+	if answer.BodyStream != nil {
+		answer = in.openAnswer(ctx, req, chosen, answer)
+	}
 	if answer.Outcome == outcome.Ran && !in.opts.Dialect.OmitsDetails {
 		if answer.Header == nil {
 			answer.Header = wire.Header{}
@@ -163,6 +172,9 @@
 	if errors.As(err, &remote) && remote.Code == "overloaded" {
 		return wire.NotRun(outcome.Overloaded, remote.Error())
 	}
+	if errors.As(err, &remote) && remote.Code == "noMethod" {
+		return wire.NotRun(outcome.LinkLost, remote.Error()) // The gate doesn't fetch streams.
+	}
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	if !cancelled {
 		in.tracker.recordPath(now, chosen.endpoint.Daemon, false)
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -37,6 +37,7 @@
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/settingsync"
+	"cactusstream.example/core/stream"
 	"cactusstream.example/core/throttle"
 )
 
@@ -74,8 +75,10 @@
 	// SettingsConfirmed reports whether a keeper has confirmed lately that the settings
 	// are the newest. It is nil if that is always the case.
 	SettingsConfirmed func() bool
-	View              func() *fleet.View
-	Zone              string
+	// Streams passes on large bodies. It is nil if bodies are only passed on whole.
+	Streams *stream.Registry
+	View    func() *fleet.View
+	Zone    string
 }
 
 // Ingress is the HTTP handler for callers' requests. It is safe for concurrent
@@ -126,6 +129,10 @@
 	afterTrial      bool
 	// triedEndpoints lists the endpoints of all attempts, for the log.
 	triedEndpoints []string
+	// body is the body of the request if it is too large to be held in runRequest, and
+	// answers holds the bodies of answers that are passed on as streams.
+	body    *callerBody
+	answers answerBodies
 }
 
 // isRetry reports whether the next attempt takes a retry from a gate's budget.
@@ -196,10 +203,12 @@
 	started := in.opts.Clock.Now()
 	req, rejection := in.newRequest(wr, httpReq, started)
 	defer func() { in.opts.Bodies.Release(req.runRequest.Body) }()
+	defer req.closeStreams()
 	if rejection != nil {
 		in.write(wr, req, *rejection)
 		return
 	}
+	req.answers.caller = httpReq.Context()
 	ctx, cancel := context.WithDeadline(httpReq.Context(), req.deadline)
 	defer cancel()
 	var answer wire.RunAnswer
@@ -208,7 +217,7 @@
 	} else {
 		answer = in.runOnce(ctx, req)
 	}
-	in.write(wr, req, answer)
+	in.write(wr, req, req.body.explain(answer))
 	in.opts.Metrics.Observe(fmt.Sprintf("ingress.rank%d.micros", req.policy.Rank), in.opts.Clock.Now().Sub(started))
 }
 
@@ -256,7 +265,7 @@
 	if in.outlastsShutdown(req) {
 		return req, req.reject(outcome.Stopping, "the daemon shuts down before the request's deadline")
 	}
-	body, err := in.opts.Bodies.Read(httpReq.Body, min(req.policy.BodyLimit, wire.MaxBody))
+	body, err := in.readBody(wr, req, httpReq)
 	if err != nil {
 		wr.Header().Set("Connection", "close") // Keeps the server from reading the rest, which may have no end.
 	}
@@ -271,7 +280,7 @@
 	req.runRequest = wire.RunRequest{
 		Request: req.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: req.policy.Rank, Idempotent: req.policy.Idempotent,
 		Method: httpReq.Method, Host: httpReq.Host, URI: httpReq.URL.RequestURI(), Header: in.forwardHeader(httpReq.Header, req.policy.Internal), Body: body,
-		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target,
+		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target, AcceptsStream: in.opts.Streams != nil && req.policy.BodyLimit > wire.MaxWholeAnswer,
 	}
 	return req, nil
 }
--- a/cactusd/internal/ingress/nonidempotent.go
+++ b/cactusd/internal/ingress/nonidempotent.go
@@ -82,7 +82,7 @@
 		}
 		answer := in.attempt(ctx, req, chosen).answer
 		se.recordAnswer(answer)
-		if answer.Outcome != outcome.NotRun || !in.mayRetry(req, chosen, answer) {
+		if answer.Outcome != outcome.NotRun || req.body.isConsumed() || !in.mayRetry(req, chosen, answer) {
 			return se.lastAnswer
 		}
 	}
@@ -135,7 +135,7 @@
 }
 
 func newClaimRecord(answer wire.RunAnswer) *claim.Record {
-	rec := &claim.Record{Status: answer.Status, Header: make(map[string]string), Body: answer.Body, Whole: true}
+	rec := &claim.Record{Status: answer.Status, Header: make(map[string]string), Body: answer.Body, Whole: answer.BodyStream == nil}
 	for name, values := range answer.Header {
 		if len(values) == 1 {
 			rec.Header[name] = values[0]
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -4,7 +4,8 @@
 // RunRequest with MethodRun to the daemon on the VM of the chosen upstream. The gate
 // in that daemon, which controls admission to the upstream, responds with a
 // RunAnswer. A body is sent whole in one message, so a truncated response is never
-// mistaken for a complete one.
+// mistaken for a complete one. A large body is passed on beside the messages, as a stream
+// (package core/stream), which the message names.
 package wire
 
 import (
@@ -22,6 +23,29 @@
 // maxFrameHeaders is the part of a frame that is left for the headers, in bytes.
 const maxFrameHeaders = 256 << 10
 
+const (
+	// MaxWholeRequest is the largest body of a request that is sent in its message, in
+	// bytes, if the gate fetches streams. A request whose body is held can be sent again.
+	MaxWholeRequest = 256 << 10
+	// MaxWholeAnswer is the same for the body of a response, if the ingress fetches
+	// streams. It is larger, because a response that is held frees the upstream's slot.
+	MaxWholeAnswer = 1 << 20
+)
+
+// Stream names a body that is passed on as a stream. The process at Address, or the sender
+// of the message if it is empty, offers it under Token.
+type Stream struct {
+	Token   string `codec:"t"`
+	Address string `codec:"a,omitempty"`
+	// Length is the number of bytes, or -1 if it is not known.
+	Length int64 `codec:"l"`
+}
+
+// MethodRunStream is like MethodRun, for a RunRequest with a BodyStream. A gate that does
+// not fetch streams rejects the method, and would run the request without its body
+// otherwise.
+const MethodRunStream = "gate.runStream"
+
 // MethodRun is the link method that asks a gate to run a request.
 const MethodRun = "gate.run"
 
@@ -99,6 +123,10 @@
 	Header     Header  `codec:"h"`
 	Body       []byte  `codec:"b"`
 	BodyLimit  int     `codec:"l"`
+	// BodyStream is the body, if it isn't in Body.
+	BodyStream *Stream `codec:"w,omitempty"`
+	// AcceptsStream means that the answer may have a BodyStream.
+	AcceptsStream bool `codec:"x,omitempty"`
 	// Remaining, TargetRemaining and Target are durations rather than times, so the
 	// daemons' clocks need not be synchronized. Target is the target latency of
 	// the request's kind, and TargetRemaining the part of it that is left.
@@ -146,8 +174,10 @@
 	Status     int           `codec:"s"`
 	Header     Header        `codec:"h"`
 	Body       []byte        `codec:"b"`
-	Load       Load          `codec:"l"`
-	Stats      Stats         `codec:"t"`
+	// BodyStream is the body, if it isn't in Body.
+	BodyStream *Stream `codec:"w,omitempty"`
+	Load       Load    `codec:"l"`
+	Stats      Stats   `codec:"t"`
 }
 
 // NotRun returns the result of an attempt that is proven not to have run.
--- a/core/bodybuffer/bodybuffer.go
+++ b/core/bodybuffer/bodybuffer.go
@@ -14,6 +14,7 @@
 package bodybuffer
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -89,7 +90,62 @@
 	}
 }
 
-// Release returns the memory of a body that Read returned. Call it once for each body.
+// ReadStart reads a body of up to limit bytes. If the body is larger, or the bodies held
+// leave no memory for it, it returns what it has read and a reader of the rest. Otherwise
+// rest is nil. The caller passes start to Release.
+func (bu *Buffer) ReadStart(reader io.Reader, limit int) (start []byte, rest io.Reader, err error) {
+	var next [1]byte
+	for {
+		into := next[:]
+		if len(start) < limit {
+			if len(start) == cap(start) {
+				grown, err := bu.grow(start)
+				if err != nil {
+					return start, reader, nil
+				}
+				start = grown
+			}
+			into = start[len(start):min(cap(start), limit)]
+		}
+		isFull := len(start) == limit
+		count, err := reader.Read(into)
+		if isFull && count > 0 {
+			return start, io.MultiReader(bytes.NewReader(next[:]), &failedReader{reader, err}), nil
+		}
+		start = start[:len(start)+count]
+		if errors.Is(err, io.EOF) {
+			return start, nil, nil
+		}
+		if err != nil {
+			bu.Release(start)
+			return nil, nil, fmt.Errorf("read body: %w", err)
+		}
+	}
+}
+
+// failedReader returns an error that came with the last bytes, or reads on if there was
+// none.
+type failedReader struct {
+	io.Reader
+	err error
+}
+
+func (fa *failedReader) Read(data []byte) (int, error) {
+	if fa.err != nil {
+		return 0, fa.err
+	}
+	return fa.Reader.Read(data)
+}
+
+// Hold counts a body that is in memory already, such as one that came in a message. It
+// does not fail, since the memory is in use in any case; other bodies find less.
+func (bu *Buffer) Hold(body []byte) {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	bu.used += cap(body)
+}
+
+// Release returns the memory of a body that Read, ReadStart or Hold counted. Call it once for each body.
 func (bu *Buffer) Release(body []byte) {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -71,6 +71,7 @@
 	LinkOpened         = define(600, "linkOpened", logrus.DebugLevel, "A link to another process was opened.")
 	LinkLost           = define(601, "linkLost", logrus.InfoLevel, "A link to another process was lost.")
 	CredentialsRefused = define(602, "credentialsRefused", logrus.WarnLevel, "A call without valid credentials was rejected.")
+	StreamAborted      = define(642, "streamAborted", logrus.InfoLevel, "A body that was passed on as a stream ended before its last byte; the field reason says why.")
 )
 
 var registry []Event
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -41,6 +41,8 @@
 	State       State
 	// Suspect is set when the daemon is suspect: it did not answer a probe.
 	Suspect bool
+	// Streams is set when the daemon fetches large bodies as streams.
+	Streams bool
 }
 
 // Pool holds the endpoints of one service, among which routing chooses.
@@ -112,7 +114,7 @@
 	}
 	pool.Endpoints = append(pool.Endpoints, Endpoint{
 		Key: rec.ID + "/" + up.ID, Daemon: rec.ID, Zone: rec.Zone, PeerAddress: rec.PeerAddress, Upstream: up,
-		State: endpointState(rec, up), Suspect: rec.Status == member.Suspect,
+		State: endpointState(rec, up), Suspect: rec.Status == member.Suspect, Streams: rec.Streams,
 	})
 }
 
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -94,6 +94,10 @@
 	Departed []Departure `codec:"d,omitempty"`
 	// Keeper is set when the process is a keeper. Keepers have no upstreams.
 	Keeper bool `codec:"k,omitempty"`
+	// Streams is set when the daemon fetches large bodies as streams (package
+	// core/stream). An older daemon that passes the record on leaves it out, and the
+	// daemon then counts as one that does not.
+	Streams bool `codec:"f,omitempty"`
 }
 
 // IsOlder reports whether ve precedes other.
--- /dev/null
+++ b/core/stream/offer.go
@@ -0,0 +1,174 @@
+package stream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// shownTokenBytes is the length of the part of a token that dumps and logs show. The whole
+// token gives access to the body.
+const shownTokenBytes = 6
+
+// Body is a body that a process offers to a peer.
+type Body struct {
+	Reader io.Reader
+	// Length is the number of bytes, or -1 if it is not known.
+	Length    int64
+	Direction Direction
+	// OnEnd is called once, with nil when the last byte was read from Reader, and else
+	// with the reason why the rest will not be read. A Read that is in progress may go
+	// on after an error.
+	OnEnd func(err error)
+}
+
+// Offer is a body that a process offers to a peer.
+type Offer struct {
+	// Token is the name of the body in messages.
+	Token string
+
+	registry  *Registry
+	body      Body
+	offeredAt time.Time
+	moved     atomic.Int64
+	// reading is set while the source is read.
+	reading atomic.Bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	taken bool
+	ended bool
+	err   error
+	// interrupt ends a write to the peer that is in progress.
+	interrupt func()
+}
+
+// IsTaken reports whether a peer has begun to fetch the body.
+func (of *Offer) IsTaken() bool {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	return of.taken
+}
+
+// Withdraw ends the stream, and reports whether a peer had begun to fetch it. If not, no
+// byte was read from its Reader, and none will be.
+func (of *Offer) Withdraw() bool {
+	of.end(ErrWithdrawn)
+	return of.IsTaken()
+}
+
+// take marks the body as fetched. It returns false if it was fetched before or has ended.
+func (of *Offer) take() bool {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if of.taken || of.ended {
+		return false
+	}
+	of.taken = true
+	of.timer.Reset(of.registry.opts.StallTimeout)
+	return true
+}
+
+// onInterrupt sets the function that ends a write in progress.
+func (of *Offer) onInterrupt(interrupt func()) {
+	of.mu.Lock()
+	of.interrupt = interrupt
+	ended, err := of.ended, of.err
+	of.mu.Unlock()
+	if ended && err != nil {
+		interrupt()
+	}
+}
+
+// expire ends a stream that made no progress.
+func (of *Offer) expire() {
+	switch {
+	case !of.IsTaken():
+		of.end(ErrNotFetched)
+	case of.reading.Load():
+		of.end(ErrSourceStalled)
+	default:
+		of.end(ErrStalled)
+	}
+}
+
+// end ends the stream, with nil if the whole body was read.
+func (of *Offer) end(err error) {
+	of.mu.Lock()
+	if of.ended {
+		of.mu.Unlock()
+		return
+	}
+	of.ended, of.err = true, err
+	of.timer.Stop()
+	interrupt := of.interrupt
+	of.mu.Unlock()
+	of.registry.remove(of, err)
+	if of.body.OnEnd != nil {
+		of.body.OnEnd(err)
+	}
+	if err != nil && interrupt != nil {
+		interrupt()
+	}
+}
+
+// Read reads from the source of a body that was taken, and ends the stream at its end.
+func (of *Offer) Read(data []byte) (int, error) {
+	if err := of.finalError(); err != nil {
+		return 0, err
+	}
+	of.reading.Store(true)
+	count, err := of.body.Reader.Read(data)
+	of.reading.Store(false)
+	if count > 0 {
+		of.moved.Add(int64(count))
+		of.touch()
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		of.end(nil)
+		return count, of.finalError()
+	case err != nil:
+		of.end(fmt.Errorf("%w: %w", ErrSource, err))
+		return count, of.finalError()
+	}
+	return count, nil
+}
+
+// touch records progress.
+func (of *Offer) touch() {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if !of.ended {
+		of.timer.Reset(of.registry.opts.StallTimeout)
+	}
+}
+
+// finalError returns what a Read after the end returns, or nil if the stream is open.
+func (of *Offer) finalError() error {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if of.ended && of.err == nil {
+		return io.EOF
+	}
+	return of.err
+}
+
+func (of *Offer) dump() map[string]any {
+	return map[string]any{
+		"token": of.Token[:shownTokenBytes], "role": "offered", "direction": of.body.Direction, "length": of.body.Length,
+		"bytes": of.moved.Load(), "taken": of.IsTaken(), "ageMillis": time.Since(of.offeredAt).Milliseconds(),
+	}
+}
+
+func (of *Offer) logFields(err error) logrus.Fields {
+	return logrus.Fields{
+		"token": of.Token[:shownTokenBytes], "direction": of.body.Direction, "length": of.body.Length, "bytes": of.moved.Load(),
+		"reason": reasonOf(err), "detail": err.Error(), "tookMillis": time.Since(of.offeredAt).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/core/stream/transfer.go
@@ -0,0 +1,283 @@
+package stream
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// dialTimeout limits the connecting to a peer, as for links.
+	dialTimeout = 400 * time.Millisecond
+	// maxHeaderBytes limits the head of the response to a fetch, in bytes.
+	maxHeaderBytes = 16 << 10
+	// contentType is that of all bodies in transfer. Their own headers travel in the
+	// message that names the token.
+	contentType = "application/octet-stream"
+)
+
+// buffers holds copy buffers.
+var buffers = sync.Pool{New: func() any { return new([BufferSize]byte) }}
+
+// newClient returns the client that fetches bodies. Each gets a connection of its own,
+// which is closed after it: a reused one may have been closed by the peer, and a body
+// can't be fetched a second time.
+func newClient(cfg *tls.Config) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, TLSClientConfig: cfg, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
+}
+
+// ServeHTTP sends one body to a peer. If the body breaks off, so does the response.
+func (re *Registry) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
+	if !re.opts.Tokens.Accepts(req) {
+		re.opts.OnUnauthorized(req)
+		http.Error(wr, "missing or invalid credentials", http.StatusUnauthorized)
+		return
+	}
+	if req.Method != http.MethodGet {
+		http.Error(wr, "only GET is allowed", http.StatusMethodNotAllowed)
+		return
+	}
+	of, err := re.take(strings.TrimPrefix(req.URL.Path, Path))
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusNotFound)
+		return
+	}
+	re.mu.Lock()
+	re.serving++
+	re.mu.Unlock()
+	defer func() {
+		re.mu.Lock()
+		re.serving--
+		re.mu.Unlock()
+	}()
+	if err := of.writeTo(wr, req); err != nil {
+		panic(http.ErrAbortHandler) // The peer must see that the body is not complete.
+	}
+}
+
+// writeTo copies the body to a peer.
+func (of *Offer) writeTo(wr http.ResponseWriter, req *http.Request) error {
+	control := http.NewResponseController(wr)
+	of.onInterrupt(func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(req.Context(), func() { of.end(ErrPeer) })
+	defer stop()
+	wr.Header().Set("Content-Type", contentType)
+	wr.Header().Set("Connection", "close")
+	if of.body.Length >= 0 {
+		wr.Header().Set("Content-Length", strconv.FormatInt(of.body.Length, 10))
+	}
+	wr.WriteHeader(http.StatusOK)
+	_ = control.Flush()
+	buf := buffers.Get().(*[BufferSize]byte)
+	defer buffers.Put(buf)
+	for {
+		count, err := of.Read(buf[:])
+		if errors.Is(err, io.EOF) { // The stall timer has ended with the source.
+			_ = control.SetWriteDeadline(time.Now().Add(of.registry.opts.StallTimeout))
+		}
+		if count > 0 {
+			if err := writeAndFlush(wr, control, buf[:count]); err != nil {
+				of.end(fmt.Errorf("%w: %w", ErrPeer, err))
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func writeAndFlush(wr io.Writer, control *http.ResponseController, data []byte) error {
+	if _, err := wr.Write(data); err != nil {
+		return fmt.Errorf("write body: %w", err)
+	}
+	if err := control.Flush(); err != nil {
+		return fmt.Errorf("write body: %w", err)
+	}
+	return nil
+}
+
+// Reader reads a body that a peer offers. Read and Close may be called concurrently.
+type Reader struct {
+	registry *Registry
+	source   io.Reader
+	openedAt time.Time
+	moved    atomic.Int64
+	reading  atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+	ended bool
+	// release frees the source.
+	release func()
+	// unfollow detaches the Reader from the context that it follows.
+	unfollow func() bool
+}
+
+// Open begins to fetch the body that the process at an address offers under a token. The
+// Reader ends with an error if the context ends before the last byte was read, or if no
+// progress is made within the stall timeout.
+func (re *Registry) Open(ctx context.Context, address, token string) (*Reader, error) {
+	rd := &Reader{registry: re, openedAt: time.Now()}
+	rd.ctx, rd.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
+	rd.mu.Lock()
+	rd.timer = time.AfterFunc(re.opts.StallTimeout, rd.expire)
+	rd.mu.Unlock()
+	re.mu.Lock()
+	closed := re.closed
+	if !closed {
+		re.readers[rd] = struct{}{}
+	}
+	re.mu.Unlock()
+	rd.Follow(ctx)
+	if closed {
+		rd.abort(ErrStopped)
+		return nil, fmt.Errorf("fetch body: %w", ErrStopped)
+	}
+	source, release, err := re.open(rd.ctx, address, token)
+	if err != nil {
+		rd.abort(err)
+		return nil, fmt.Errorf("fetch body: %w", err)
+	}
+	rd.mu.Lock()
+	rd.source, rd.release = source, release
+	rd.mu.Unlock()
+	if err := context.Cause(rd.ctx); err != nil { // It ended before it could release the source.
+		release()
+		return nil, fmt.Errorf("fetch body: %w", err)
+	}
+	return rd, nil
+}
+
+// open returns the source of a body and a function that frees it.
+func (re *Registry) open(ctx context.Context, address, token string) (source io.Reader, release func(), err error) {
+	if address == re.opts.Address {
+		of, err := re.take(token)
+		if err != nil {
+			return nil, nil, err
+		}
+		return of, func() { of.end(ErrPeer) }, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, re.scheme+"://"+address+Path+token, http.NoBody)
+	if err != nil {
+		return nil, nil, fmt.Errorf("open stream: %w", err)
+	}
+	re.opts.Tokens.SetAuthorization(req.Header)
+	resp, err := re.client.Do(req)
+	if err != nil {
+		return nil, nil, fmt.Errorf("open stream: %w", errors.Join(context.Cause(ctx), err))
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, nil, fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
+	}
+	return resp.Body, func() { _ = resp.Body.Close() }, nil
+}
+
+// Follow makes the Reader end with an error when the context ends, instead of that of Open
+// or of an earlier call.
+func (rd *Reader) Follow(ctx context.Context) {
+	rd.mu.Lock()
+	defer rd.mu.Unlock()
+	if rd.unfollow != nil {
+		rd.unfollow()
+	}
+	if !rd.ended {
+		rd.unfollow = context.AfterFunc(ctx, func() { rd.abort(context.Cause(ctx)) })
+	}
+}
+
+// Context returns a context that ends when the Reader is closed or fails.
+func (rd *Reader) Context() context.Context { return rd.ctx }
+
+// Read reads from the body. It returns io.EOF only after the last byte.
+func (rd *Reader) Read(data []byte) (int, error) {
+	if err := context.Cause(rd.ctx); err != nil {
+		return 0, err
+	}
+	rd.reading.Store(true)
+	count, err := rd.source.Read(data)
+	rd.reading.Store(false)
+	rd.moved.Add(int64(count))
+	if count > 0 {
+		rd.touch()
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		rd.finish()
+		return count, io.EOF
+	case err != nil:
+		rd.abort(fmt.Errorf("%w: %w", ErrSource, err))
+		return count, context.Cause(rd.ctx)
+	}
+	return count, nil
+}
+
+// Close ends the stream. If the body was not read to its end, its source ends as well.
+func (rd *Reader) Close() error {
+	rd.abort(ErrWithdrawn)
+	return nil
+}
+
+func (rd *Reader) touch() {
+	rd.mu.Lock()
+	defer rd.mu.Unlock()
+	if !rd.ended {
+		rd.timer.Reset(rd.registry.opts.StallTimeout)
+	}
+}
+
+func (rd *Reader) expire() {
+	if rd.reading.Load() {
+		rd.abort(ErrSourceStalled)
+	} else {
+		rd.abort(ErrStalled)
+	}
+}
+
+// finish ends the timers of a body that was read to its end.
+func (rd *Reader) finish() {
+	rd.mu.Lock()
+	rd.ended = true
+	rd.timer.Stop()
+	if rd.unfollow != nil {
+		rd.unfollow()
+	}
+	rd.mu.Unlock()
+	rd.registry.mu.Lock()
+	delete(rd.registry.readers, rd)
+	rd.registry.mu.Unlock()
+}
+
+// abort ends the stream with an error.
+func (rd *Reader) abort(err error) {
+	rd.finish()
+	rd.cancel(err)
+	rd.mu.Lock()
+	release := rd.release
+	rd.mu.Unlock()
+	if release != nil {
+		release()
+	}
+}
+
+func (rd *Reader) dump() map[string]any {
+	return map[string]any{"role": "fetching", "bytes": rd.moved.Load(), "ageMillis": time.Since(rd.openedAt).Milliseconds()}
+}
