--- a/cactusd/daemon/stream_test.go
+++ b/cactusd/daemon/stream_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -522,6 +523,18 @@
 	}
 }
 
+// countingReader counts the bytes that were read.
+type countingReader struct {
+	io.Reader
+	count atomic.Int64
+}
+
+func (co *countingReader) Read(data []byte) (int, error) {
+	count, err := co.Reader.Read(data)
+	co.count.Add(int64(count))
+	return count, err
+}
+
 // TestBodyOverItsLimit sends bodies that are larger than their limit. They must be refused
 // with 413 without being read to their end, and an upstream that has got a part of one must
 // not take it for a whole one.
@@ -537,13 +550,13 @@
 	})
 	defer pa.stop(t)
 	for _, length := range []int64{limit + 1, 1 << 40, -1} {
-		body := &pattern{size: 1 << 40}
+		body := &countingReader{Reader: &pattern{size: 1 << 40}}
 		resp, err := pa.post(t, "", body, length)
 		is.NoErr(err)
 		_, err = readAll(resp)
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
-		is.True(body.offset < 40<<20)
+		is.True(body.count.Load() < 40<<20)
 	}
 	is.True(<-ends != nil) // Only the chunked one has reached the upstream.
 	is.Equal(len(ends), 0)
--- a/cactusd/internal/ingress/answerstream.go
+++ b/cactusd/internal/ingress/answerstream.go
@@ -73,6 +73,7 @@
 func (in *Ingress) openAnswer(ctx context.Context, req *request, chosen choice, answer wire.RunAnswer) wire.RunAnswer {
 	reader, err := in.opts.Streams.Open(ctx, chosen.endpoint.PeerAddress, answer.BodyStream.Token)
 	if err != nil {
+		go in.opts.Streams.Discard(chosen.endpoint.PeerAddress, answer.BodyStream.Token) // Frees the slot if it was the context that ended.
 		return in.brokenAnswer(ctx, outcome.LinkLost, answer, err)
 	}
 	first := make([]byte, stream.BufferSize)
@@ -115,8 +116,8 @@
 	in.opts.Log.Write(events.StreamAborted, logrus.Fields{
 		"request": req.id, "direction": stream.Answer, "reason": "caller", "length": answer.BodyStream.Length, "bytes": count, "detail": fmt.Sprint(err),
 	})
-	if answer.BodyStream.Length < 0 {
-		resetConnection(wr) // To a caller that speaks HTTP/1.0, the end of the connection is that of the answer.
+	if req.endsWithConnection && answer.BodyStream.Length < 0 {
+		resetConnection(wr)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -137,10 +137,11 @@
 		return wire.NotRun(outcome.Deadline, "the deadline has passed")
 	}
 	if req.body != nil {
-		if rejection, rejected := in.attachBody(req, chosen, &run); rejected {
-			return rejection
+		offer, rejection := in.attachBody(req, chosen, &run)
+		if rejection != nil {
+			return *rejection
 		}
-		defer req.body.withdraw()
+		defer req.body.withdraw(offer)
 	}
 	in.attempts.Store(run.Attempt, chosen.endpoint)
 	defer in.attempts.Delete(run.Attempt)
--- a/cactusd/internal/ingress/body.go
+++ b/cactusd/internal/ingress/body.go
@@ -156,46 +156,54 @@
 	return ca.consumed || ca.offer != nil && ca.offer.IsTaken()
 }
 
-// withdraw ends the last offer of the body.
-func (ca *callerBody) withdraw() {
+// withdraw ends an offer of the body. It has no effect on a later one, since an attempt that
+// was abandoned may end after the next has begun.
+func (ca *callerBody) withdraw(offer *stream.Offer) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	ca.withdrawLocked()
+	ca.withdrawLocked(offer)
 }
 
-func (ca *callerBody) withdrawLocked() {
-	if ca.offer != nil && ca.offer.Withdraw() {
+// withdrawLocked is like withdraw. The caller holds the lock.
+func (ca *callerBody) withdrawLocked(offer *stream.Offer) {
+	if offer == nil {
+		return
+	}
+	if offer.Withdraw() {
 		ca.consumed = true
 	}
-	ca.offer = nil
+	if ca.offer == offer {
+		ca.offer = nil
+	}
 }
 
-// attachBody adds the body of a request to an attempt, and reports whether the attempt is
-// rejected instead.
-func (in *Ingress) attachBody(req *request, chosen choice, run *wire.RunRequest) (wire.RunAnswer, bool) {
+// attachBody adds the body of a request to an attempt. It returns the offer to withdraw
+// after the attempt, or nil if there is none, and the answer to an attempt that is rejected
+// instead.
+func (in *Ingress) attachBody(req *request, chosen choice, run *wire.RunRequest) (*stream.Offer, *wire.RunAnswer) {
 	ca := req.body
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	ca.withdrawLocked()
+	ca.withdrawLocked(ca.offer)
 	switch {
 	case ca.isWhole:
 		run.Body = ca.whole
-		return wire.RunAnswer{}, false
+		return nil, nil
 	case ca.consumed:
-		return wire.NotRun(outcome.NoUpstream, "the body was fetched for an earlier attempt"), true
+		return nil, &wire.RunAnswer{Outcome: outcome.NotRun, Reason: outcome.NoUpstream, Detail: "the body was fetched for an earlier attempt"}
 	case !chosen.endpoint.Streams:
-		return ca.readWhole(run)
+		return nil, ca.readWhole(run)
 	}
 	ca.offer = in.opts.Streams.Offer(stream.Body{Reader: ca, Length: ca.length, Direction: stream.Request})
 	run.BodyStream = &wire.Stream{Token: ca.offer.Token, Address: in.opts.Streams.Address(), Length: ca.length}
-	return wire.RunAnswer{}, false
+	return ca.offer, nil
 }
 
 // readWhole reads the body into memory, for a gate that doesn't fetch streams. A body that
 // is known to be too large for that is left for other gates.
-func (ca *callerBody) readWhole(run *wire.RunRequest) (wire.RunAnswer, bool) {
+func (ca *callerBody) readWhole(run *wire.RunRequest) *wire.RunAnswer {
 	if ca.length > wire.MaxBody {
-		return wire.NotRun(outcome.BodyTooLarge, "the daemon of the upstream doesn't fetch streams"), true
+		return &wire.RunAnswer{Outcome: outcome.NotRun, Reason: outcome.BodyTooLarge, Detail: "the daemon of the upstream doesn't fetch streams"}
 	}
 	body, err := ca.bodies.Read(ca, wire.MaxBody)
 	if err != nil {
@@ -204,18 +212,22 @@
 		if errors.Is(err, bodybuffer.ErrFull) {
 			reason = outcome.Overloaded
 		}
-		return wire.NotRun(reason, err.Error()), true
+		return &wire.RunAnswer{Outcome: outcome.NotRun, Reason: reason, Detail: err.Error()}
 	}
 	ca.whole, ca.isWhole = body, true
 	run.Body = body
-	return wire.RunAnswer{}, false
+	return nil
 }
 
 // close ends the use of the caller's connection. The response must have been written.
 func (ca *callerBody) close() {
-	ca.withdraw()
+	ca.mu.Lock()
+	ca.withdrawLocked(ca.offer)
+	whole := ca.whole
+	ca.consumed, ca.isWhole, ca.whole = true, false, nil // For attempts that were abandoned.
+	ca.mu.Unlock()
 	ca.bodies.Release(ca.held)
-	ca.bodies.Release(ca.whole)
+	ca.bodies.Release(whole)
 	if !ca.isRead() {
 		_ = ca.control.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -133,6 +133,9 @@
 	// answers holds the bodies of answers that are passed on as streams.
 	body    *callerBody
 	answers answerBodies
+	// endsWithConnection means that the caller speaks HTTP/1.0, so that an answer without
+	// a length ends with its connection.
+	endsWithConnection bool
 }
 
 // isRetry reports whether the next attempt takes a retry from a gate's budget.
@@ -224,7 +227,7 @@
 // newRequest reads a request and resolves its policy. It returns an answer for a
 // request that cannot be run.
 func (in *Ingress) newRequest(wr http.ResponseWriter, httpReq *http.Request, now time.Time) (*request, *wire.RunAnswer) {
-	req := &request{receivedAt: now}
+	req := &request{receivedAt: now, endsWithConnection: !httpReq.ProtoAtLeast(1, 1)}
 	if in.opts.Dialect.Key != "" {
 		req.key = httpReq.Header.Get(in.opts.Dialect.Key)
 	}
--- a/core/stream/offer.go
+++ b/core/stream/offer.go
@@ -129,8 +129,14 @@
 		of.moved.Add(int64(count))
 		of.touch()
 	}
+	// A peer that has all bytes of a known length may close the connection before the
+	// source has told its end.
+	if errors.Is(err, io.EOF) && of.moved.Load() < of.body.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	isWhole := err == nil && of.body.Length >= 0 && of.moved.Load() == of.body.Length
 	switch {
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, io.EOF), isWhole:
 		of.end(nil)
 		return count, of.finalError()
 	case err != nil:
--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -20,6 +20,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxHeaderBytes limits the head of the response to a fetch, in bytes.
 	maxHeaderBytes = 16 << 10
+	// discardTimeout limits the attempt to end a body of a peer. After the fetch timeout
+	// it ends in any case.
+	discardTimeout = time.Second
 	// contentType is that of all bodies in transfer. Their own headers travel in the
 	// message that names the token.
 	contentType = "application/octet-stream"
@@ -166,6 +169,15 @@
 	return rd, nil
 }
 
+// Discard ends a body that the process at an address offers and that isn't needed.
+func (re *Registry) Discard(address, token string) {
+	ctx, cancel := context.WithTimeout(context.Background(), discardTimeout)
+	defer cancel()
+	if rd, err := re.Open(ctx, address, token); err == nil {
+		_ = rd.Close()
+	}
+}
+
 // open returns the source of a body and a function that frees it.
 func (re *Registry) open(ctx context.Context, address, token string) (source io.Reader, release func(), err error) {
 	if address == re.opts.Address {
