perf(gate): a small answer takes the same allocations as before

bodybuffer.ReadStart allocates the byte that tells whether there is a rest only when the start is full, and a response of known length needs no limit while it is read.

--- a/cactusd/daemon/departures_test.go
+++ b/cactusd/daemon/departures_test.go
@@ -22,7 +22,7 @@
 
 // startDaemon starts a daemon with one seed, or with none if seed is empty. The edits
 // change its options before.
-func startDaemon(t *testing.T, id, peerAddress, seed string, edits ...func(*daemon.Options)) *daemon.Daemon {
+func startDaemon(t testing.TB, id, peerAddress, seed string, edits ...func(*daemon.Options)) *daemon.Daemon {
 	t.Helper()
 	tokens := auth.NewTokens(testToken)
 	opts := daemon.Options{
@@ -47,7 +47,7 @@
 	return da
 }
 
-func stopDaemon(t *testing.T, da *daemon.Daemon) {
+func stopDaemon(t testing.TB, da *daemon.Daemon) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
--- a/cactusd/daemon/start_test.go
+++ b/cactusd/daemon/start_test.go
@@ -21,7 +21,7 @@
 )
 
 // freeAddress returns a loopback address with a port that was free.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -28,7 +28,7 @@
 
 // serveSettings serves a settings tree as a keeper does, and returns the address and the
 // key that the settings are signed with.
-func serveSettings(t *testing.T, tree *settings.Tree) (address string, key ed25519.PublicKey) {
+func serveSettings(t testing.TB, tree *settings.Tree) (address string, key ed25519.PublicKey) {
 	t.Helper()
 	private := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
 	key = private.Public().(ed25519.PublicKey)
@@ -55,13 +55,13 @@
 	front, back *daemon.Daemon
 }
 
-func newPair(t *testing.T, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
+func newPair(t testing.TB, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
 	t.Helper()
 	return newPairOf(t, 8_000_000, upstream, edits...)
 }
 
 // newPairOf is like newPair, with a limit for bodies.
-func newPairOf(t *testing.T, bodyLimit int, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
+func newPairOf(t testing.TB, bodyLimit int, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
 	t.Helper()
 	tree := settings.NewTree().Apply([]settings.Edit{
 		{Path: "*/*/s/order", Key: "path", Value: "/order"},
--- a/cactusd/daemon/stream_test.go
+++ b/cactusd/daemon/stream_test.go
@@ -68,7 +68,7 @@
 }
 
 // post sends a body and returns the response. A length of -1 sends it chunked.
-func (pa *pair) post(t *testing.T, query string, body io.Reader, length int64) (*http.Response, error) {
+func (pa *pair) post(t testing.TB, query string, body io.Reader, length int64) (*http.Response, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
 	t.Cleanup(cancel)
@@ -82,7 +82,7 @@
 	return client.Do(req)
 }
 
-func (pa *pair) stop(t *testing.T) {
+func (pa *pair) stop(t testing.TB) {
 	t.Helper()
 	stopDaemon(t, pa.front)
 	stopDaemon(t, pa.back)
@@ -108,7 +108,7 @@
 	for _, length := range []int64{largestBody, -1} {
 		t.Run(fmt.Sprint(length), func(t *testing.T) {
 			is := is.New(t)
-			resp, err := pa.post(t, "", &pattern{size: largestBody}, length)
+			resp, err := pa.post(t, "", &pattern{size: largestBody}, length) //nolint:bodyclose // readAll closes it.
 			is.NoErr(err)
 			body, err := readAll(resp)
 			is.NoErr(err)
@@ -238,7 +238,7 @@
 					_ = con.SetDeadline(time.Now().Add(streamTimeout))
 					_, err = fmt.Fprintf(con, "POST /order?framing=%s&sent=%d %s\r\nHost: x\r\nContent-Length: 1\r\n\r\nx", framing, sent, proto)
 					is.NoErr(err)
-					resp, err := http.ReadResponse(bufio.NewReader(con), nil)
+					resp, err := http.ReadResponse(bufio.NewReader(con), nil) //nolint:bodyclose // readAll closes it.
 					if err != nil {
 						return // The connection was closed before the head: not complete either.
 					}
@@ -292,12 +292,12 @@
 		t.Errorf("%d bytes more in use", grown)
 	}
 	for _, con := range cons {
-		resp, err := http.ReadResponse(bufio.NewReader(con), nil)
+		resp, err := http.ReadResponse(bufio.NewReader(con), nil) //nolint:bodyclose // readAll closes it.
 		is.NoErr(err)
-		count, err := io.Copy(io.Discard, resp.Body)
+		body, err := readAll(resp)
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusOK)
-		is.Equal(count, int64(size))
+		is.Equal(len(body), size)
 	}
 }
 
--- a/cactusd/internal/gate/answerstream.go
+++ b/cactusd/internal/gate/answerstream.go
@@ -45,7 +45,10 @@
 	if resp.ContentLength > limit {
 		return nil, nil, fmt.Errorf("read response: %w of %d bytes", bodybuffer.ErrTooLarge, limit)
 	}
-	body := &limitedReader{reader: resp.Body, left: limit}
+	var body io.Reader = resp.Body
+	if resp.ContentLength < 0 {
+		body = &limitedReader{reader: resp.Body, left: limit}
+	}
 	if resp.ContentLength > wire.MaxWholeAnswer {
 		return nil, body, nil
 	}
@@ -61,6 +64,7 @@
 func (an *answerStream) offer(res sendResult, onEnd func(sendResult)) *wire.Stream {
 	ex := an.ex
 	res.pending = nil
+	stream.LimitReceiveBuffer(ex.con.Conn)
 	offer := ex.client.streams.Offer(stream.Body{
 		Reader: an, Length: an.resp.ContentLength, Direction: stream.Answer,
 		OnEnd: func(err error) {
--- a/cactusd/internal/gate/stream_test.go
+++ b/cactusd/internal/gate/stream_test.go
@@ -33,7 +33,7 @@
 	streams *stream.Registry
 }
 
-func newStreamGate(t *testing.T, slots int, address string) *streamGate {
+func newStreamGate(t *testing.T, address string) *streamGate {
 	t.Helper()
 	reg := metrics.NewRegistry()
 	sg := &streamGate{bodies: bodybuffer.New(testBodyMemory), streams: stream.New(stream.Options{
@@ -46,7 +46,7 @@
 		Policy: func(string) *settings.Policy { return policy }, OnChange: func() {},
 	})
 	t.Cleanup(sg.streams.Close)
-	announce(t, sg.Gate, address, slots)
+	announce(t, sg.Gate, address, 1)
 	return sg
 }
 
@@ -93,7 +93,7 @@
 		writeResponse(con, req.Header.Get("X-Id"), own, "")
 		return true
 	})
-	sg := newStreamGate(t, 1, address)
+	sg := newStreamGate(t, address)
 	for number := range 2 {
 		answer := sg.Run(context.Background(), streamRequest(fmt.Sprint("a", number)))
 		is.Equal(answer.Outcome, outcome.Ran)
@@ -117,7 +117,7 @@
 		writeResponse(con, id, strings.Repeat("x", 2<<20), "")
 		return true
 	})
-	sg := newStreamGate(t, 1, address)
+	sg := newStreamGate(t, address)
 	is.Equal(len(sg.read(t, sg.Run(context.Background(), streamRequest("a")))), 2<<20)
 	answer := sg.Run(context.Background(), streamRequest("b"))
 	is.Equal(answer.Outcome, outcome.Unknown)
@@ -133,7 +133,7 @@
 		writeResponse(con, req.Header.Get("X-Id"), strings.Repeat("x", 2<<20), "")
 		return true
 	})
-	sg := newStreamGate(t, 1, address)
+	sg := newStreamGate(t, address)
 	first := sg.Run(context.Background(), streamRequest("a"))
 	second := make(chan wire.RunAnswer, 1)
 	go func() { second <- sg.Run(context.Background(), streamRequest("b")) }()
@@ -157,7 +157,7 @@
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	_ = lis.Close()
-	sg := newStreamGate(t, 1, lis.Addr().String())
+	sg := newStreamGate(t, lis.Addr().String())
 	of, body := sg.offer(strings.NewReader("body"), 4)
 	req := streamRequest("a")
 	req.Body, req.BodyStream = nil, body
@@ -173,7 +173,7 @@
 		t.Error("the upstream got a request")
 		return false
 	})
-	sg := newStreamGate(t, 1, address)
+	sg := newStreamGate(t, address)
 	of, body := sg.offer(strings.NewReader("body"), 4)
 	of.Withdraw()
 	req := streamRequest("a")
@@ -197,12 +197,12 @@
 					err    error
 				}
 				results := make(chan result, 1)
-				sg := newStreamGate(t, 1, serveUpstream(t, func(wr http.ResponseWriter, req *http.Request) {
+				sg := newStreamGate(t, serveUpstream(t, func(wr http.ResponseWriter, req *http.Request) {
 					body, err := io.ReadAll(req.Body)
 					results <- result{req.ContentLength, body, err}
 					wr.Header().Set("X-Id", req.Header.Get("X-Id"))
 				}))
-				var source io.Reader = iotest.HalfReader(bytes.NewReader(whole))
+				source := iotest.HalfReader(bytes.NewReader(whole))
 				if isBroken {
 					source = io.MultiReader(bytes.NewReader(whole[:300_000]), iotest.ErrReader(io.ErrUnexpectedEOF))
 				}
@@ -242,7 +242,7 @@
 				_, _ = fmt.Fprintf(con, "HTTP/1.1 %s\r\nX-Id: %s\r\n%s\r\n", tc.status, req.Header.Get("X-Id"), length)
 				return true
 			})
-			sg := newStreamGate(t, 1, address)
+			sg := newStreamGate(t, address)
 			for number := range 2 {
 				req := streamRequest(fmt.Sprint("a", number))
 				req.Method, req.Body = tc.method, nil
@@ -265,7 +265,7 @@
 			_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s%s", req.Header.Get("X-Id"), framing, strings.Repeat("x", limit+1))
 			return false
 		})
-		sg := newStreamGate(t, 1, address)
+		sg := newStreamGate(t, address)
 		req := streamRequest("a")
 		req.BodyLimit = limit
 		answer := sg.Run(context.Background(), req)
@@ -289,7 +289,7 @@
 		writeResponse(con, req.Header.Get("X-Id"), body, "")
 		return true
 	})
-	sg := newStreamGate(t, 1, address)
+	sg := newStreamGate(t, address)
 	sg.bodies.Hold(make([]byte, testBodyMemory))
 	answer := sg.Run(context.Background(), streamRequest("a"))
 	is.Equal(answer.Outcome, outcome.Ran)
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -269,13 +269,13 @@
 //
 // The caller closes the connection after an error. The body is then left as it is,
 // since closing it would read the rest, which may have no end.
-func (ex *exchange) readResponse() (*received, error) {
+func (ex *exchange) readResponse() (received, error) {
 	for range maxResponses {
 		ex.con.head.begin()
-		resp, err := http.ReadResponse(ex.con.reader, ex.hreq) //nolint:bodyclose // The body is closed below, or by the stream.
+		resp, err := http.ReadResponse(ex.con.reader, ex.hreq)
 		ex.con.head.end()
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return received{}, fmt.Errorf("read response: %w", err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -283,17 +283,17 @@
 		echoed := resp.Header.Get(ex.client.dialect.Attempt)
 		isStale := echoed != "" && echoed != ex.attempt
 		isUnclear := echoed == "" && ex.con.isReused
-		rec := &received{resp: resp}
+		rec := received{resp: resp}
 		if isStale || isUnclear || !ex.mayStream(resp) {
 			rec.body, err = ex.readBody(resp)
 		} else {
 			rec.body, rec.rest, err = ex.readStart(resp)
 		}
 		if err != nil && isStale {
-			return nil, fmt.Errorf("%w: %w", errStaleResponse, err)
+			return received{}, fmt.Errorf("%w: %w", errStaleResponse, err)
 		}
 		if err != nil {
-			return nil, err
+			return received{}, err
 		}
 		if rec.rest == nil {
 			_ = resp.Body.Close()
@@ -302,7 +302,7 @@
 			ex.client.missingIDAt.Store(time.Now().UnixNano())
 			if isUnclear {
 				ex.client.bodies.Release(rec.body)
-				return nil, errMissingID
+				return received{}, errMissingID
 			}
 		}
 		if isStale {
@@ -314,7 +314,7 @@
 		ex.reusable = !resp.Close && !ex.client.leavesOutIDs() && !ex.sawStale && (rec.rest != nil || ex.con.reader.Buffered() == 0)
 		return rec, nil
 	}
-	return nil, errStaleResponse
+	return received{}, errStaleResponse
 }
 
 // readBody reads the complete body. A response without framing is an error,
--- a/cactusd/internal/ingress/stream_test.go
+++ b/cactusd/internal/ingress/stream_test.go
@@ -22,6 +22,7 @@
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/fleet"
+	"cactusstream.example/core/link"
 	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/settings"
@@ -91,9 +92,9 @@
 }
 
 // answerWith returns an answer whose body is a stream.
-func (sf *streamFixture) answerWith(status int, body io.Reader) wire.RunAnswer {
+func (sf *streamFixture) answerWith(body io.Reader) wire.RunAnswer {
 	of := sf.streams.Offer(stream.Body{Reader: body, Length: -1, Direction: stream.Answer})
-	return wire.RunAnswer{Outcome: outcome.Ran, Status: status, Header: wire.Header{}, BodyStream: &wire.Stream{Token: of.Token, Length: -1}}
+	return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusOK, Header: wire.Header{}, BodyStream: &wire.Stream{Token: of.Token, Length: -1}}
 }
 
 // TestBodyIsSentAgainOnlyIfUnfetched lets the first attempt end in several ways. Only if no
@@ -197,9 +198,9 @@
 			is := is.New(t)
 			sf := newStreamFixture(t, func(sf *streamFixture, attempt int64, _ wire.RunRequest) wire.RunAnswer {
 				if attempt == 1 {
-					return sf.answerWith(http.StatusOK, tc.first)
+					return sf.answerWith(tc.first)
 				}
-				return sf.answerWith(http.StatusOK, strings.NewReader("whole"))
+				return sf.answerWith(strings.NewReader("whole"))
 			})
 			status, body, err := sf.send(t, tc.path, 10, "10000")
 			is.Equal(err == nil, tc.isComplete)
@@ -234,7 +235,7 @@
 func TestFlowingAnswerOutlastsItsDeadline(t *testing.T) {
 	is := is.New(t)
 	sf := newStreamFixture(t, func(sf *streamFixture, _ int64, _ wire.RunRequest) wire.RunAnswer {
-		return sf.answerWith(http.StatusOK, &slowSource{left: 20, pause: 20 * time.Millisecond})
+		return sf.answerWith(&slowSource{left: 20, pause: 20 * time.Millisecond})
 	})
 	status, body, err := sf.send(t, "/look/", 10, "200")
 	is.NoErr(err)
@@ -248,7 +249,7 @@
 	is := is.New(t)
 	claims := &recordingClaims{fakeClaims: fakeClaims{grant: claim.Grant{Result: claim.Won}}}
 	sf := newStreamFixture(t, func(sf *streamFixture, _ int64, _ wire.RunRequest) wire.RunAnswer {
-		return sf.answerWith(http.StatusOK, strings.NewReader("large"))
+		return sf.answerWith(strings.NewReader("large"))
 	}, func(opts *ingress.Options) { opts.Claims = claims })
 	_, body, err := sf.send(t, "/cut/", 10, "10000")
 	is.NoErr(err)
@@ -308,3 +309,28 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestGateThatDoesNotKnowStreams sends a body to a gate whose daemon was replaced by an
+// older version since its record was written. It rejects the method, so that the request is
+// proved not to have run, and the body goes to the next.
+func TestGateThatDoesNotKnowStreams(t *testing.T) {
+	for _, path := range []string{"/look/", "/cut/"} {
+		is := is.New(t)
+		const size = 1_000_000
+		var attempts atomic.Int64
+		sf := newStreamFixture(t, nil)
+		sf.runner.answer = func(_ fleet.Endpoint, req wire.RunRequest) (wire.RunAnswer, error) {
+			if attempts.Add(1) == 1 {
+				return wire.RunAnswer{}, &link.RemoteError{Code: "noMethod", Message: wire.MethodRunStream}
+			}
+			count, err := sf.fetch(req, size+1)
+			is.NoErr(err)
+			is.Equal(count, int64(size))
+			return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusOK}, nil
+		}
+		status, _, err := sf.send(t, path, size, "10000")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(attempts.Load(), int64(2))
+	}
+}
--- a/core/bodybuffer/bodybuffer.go
+++ b/core/bodybuffer/bodybuffer.go
@@ -94,24 +94,15 @@
 // leave no memory for it, it returns what it has read and a reader of the rest. Otherwise
 // rest is nil. The caller passes start to Release.
 func (bu *Buffer) ReadStart(reader io.Reader, limit int) (start []byte, rest io.Reader, err error) {
-	var next [1]byte
-	for {
-		into := next[:]
-		if len(start) < limit {
-			if len(start) == cap(start) {
-				grown, err := bu.grow(start)
-				if err != nil {
-					return start, reader, nil
-				}
-				start = grown
+	for len(start) < limit {
+		if len(start) == cap(start) {
+			grown, err := bu.grow(start)
+			if err != nil {
+				return start, reader, nil //nolint:nilerr // The rest shows that not all was read.
 			}
-			into = start[len(start):min(cap(start), limit)]
-		}
-		isFull := len(start) == limit
-		count, err := reader.Read(into)
-		if isFull && count > 0 {
-			return start, io.MultiReader(bytes.NewReader(next[:]), &failedReader{reader, err}), nil
+			start = grown
 		}
+		count, err := reader.Read(start[len(start):min(cap(start), limit)])
 		start = start[:len(start)+count]
 		if errors.Is(err, io.EOF) {
 			return start, nil, nil
@@ -121,6 +112,25 @@
 			return nil, nil, fmt.Errorf("read body: %w", err)
 		}
 	}
+	return bu.checkEnd(reader, start)
+}
+
+// checkEnd returns a body that has as many bytes as may be read, and a reader of the rest
+// if there is one.
+func (bu *Buffer) checkEnd(reader io.Reader, start []byte) ([]byte, io.Reader, error) {
+	for {
+		next := make([]byte, 1)
+		count, err := reader.Read(next)
+		switch {
+		case count > 0:
+			return start, io.MultiReader(bytes.NewReader(next), &failedReader{reader, err}), nil
+		case errors.Is(err, io.EOF):
+			return start, nil, nil
+		case err != nil:
+			bu.Release(start)
+			return nil, nil, fmt.Errorf("read body: %w", err)
+		}
+	}
 }
 
 // failedReader returns an error that came with the last bytes, or reads on if there was
--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -18,6 +18,11 @@
 const (
 	// dialTimeout limits the connecting to a peer, as for links.
 	dialTimeout = 400 * time.Millisecond
+	// receiveBuffer is the size of the receive buffer of a connection that a body comes
+	// from, in bytes. By default a kernel lets it grow to 6 MB, which a reader that stops
+	// keeps filled, and which hides the progress of a slow reader from the sender. It is
+	// enough for 70 MB/s at a round trip of 3.5 ms.
+	receiveBuffer = 256 << 10
 	// maxHeaderBytes limits the head of the response to a fetch, in bytes.
 	maxHeaderBytes = 16 << 10
 	// discardTimeout limits the attempt to end a body of a peer. After the fetch timeout
@@ -36,11 +41,26 @@
 // can't be fetched a second time.
 func newClient(cfg *tls.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		con, err := dialer.DialContext(ctx, network, address)
+		if err == nil {
+			LimitReceiveBuffer(con)
+		}
+		return con, err
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, TLSClientConfig: cfg, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext: dial, TLSClientConfig: cfg, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
+// LimitReceiveBuffer keeps the kernel from growing the receive buffer of a connection that a
+// body comes from.
+func LimitReceiveBuffer(con net.Conn) {
+	if tcp, ok := con.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(receiveBuffer)
+	}
+}
+
 // ServeHTTP sends one body to a peer. If the body breaks off, so does the response.
 func (re *Registry) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
 	if !re.opts.Tokens.Accepts(req) {
@@ -192,7 +212,7 @@
 		return nil, nil, fmt.Errorf("open stream: %w", err)
 	}
 	re.opts.Tokens.SetAuthorization(req.Header)
-	resp, err := re.client.Do(req)
+	resp, err := re.client.Do(req) //nolint:bodyclose // release closes the body.
 	if err != nil {
 		return nil, nil, fmt.Errorf("open stream: %w", errors.Join(context.Cause(ctx), err))
 	}
