--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -136,6 +136,28 @@
 	}
 }
 
+// TestBodyOfKnownLengthNeedsNoEnd checks that a body is complete with its last byte, also if
+// its source tells its end later. The peer closes the connection before that, which must not
+// count as an abort.
+func TestBodyOfKnownLengthNeedsNoEnd(t *testing.T) {
+	fi := newFixture(t)
+	for name, open := range fi.openers() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			source := &blocked{done: make(chan struct{})}
+			defer close(source.done)
+			of, ended := fi.offer(io.MultiReader(strings.NewReader("body"), source), 4)
+			rd, err := open(of.Token)
+			is.NoErr(err)
+			got, err := io.ReadAll(rd)
+			is.NoErr(err)
+			is.Equal(string(got), "body")
+			is.NoErr(rd.Close())
+			is.NoErr(awaitEnd(t, ended))
+		})
+	}
+}
+
 // TestBodyShorterThanItsLength checks that a source that ends too early is an error.
 func TestBodyShorterThanItsLength(t *testing.T) {
 	fi := newFixture(t)
