--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -38,6 +38,7 @@
 	"cactusstream.example/core/placement"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/settingsync"
+	"cactusstream.example/core/stream"
 	"cactusstream.example/core/throttle"
 )
 
@@ -77,8 +78,10 @@
 	// SettingsConfirmed reports whether a keeper has confirmed lately that the settings
 	// are the newest. It is nil if that is always the case.
 	SettingsConfirmed func() bool
-	View              func() *fleet.View
-	Zone              string
+	// Streams passes on large bodies. It is nil if bodies are only passed on whole.
+	Streams *stream.Registry
+	View    func() *fleet.View
+	Zone    string
 }
 
 // Ingress is the HTTP handler for callers' requests. It is safe for concurrent
@@ -140,6 +143,13 @@
 	afterTrial      bool
 	// triedEndpoints lists the endpoints of all attempts, for the log.
 	triedEndpoints []string
+	// body is the body of the request if it is too large to be held in runRequest, and
+	// answers holds the bodies of answers that are passed on as streams.
+	body    *callerBody
+	answers answerBodies
+	// endsWithConnection means that the caller speaks HTTP/1.0, so that an answer without
+	// a length ends with its connection.
+	endsWithConnection bool
 }
 
 // isRetry reports whether the next attempt takes a retry from a gate's budget.
@@ -215,11 +225,13 @@
 	started := in.opts.Clock.Now()
 	req, rejection := in.newRequest(wr, httpReq, started)
 	defer func() { in.opts.Bodies.Release(req.runRequest.Body) }()
+	defer req.closeStreams()
 	if rejection != nil {
 		in.returnQuota(req)
 		in.write(wr, req, *rejection)
 		return
 	}
+	req.answers.caller = httpReq.Context()
 	ctx, cancel := context.WithDeadline(httpReq.Context(), req.deadline)
 	defer cancel()
 	var answer wire.RunAnswer
@@ -228,6 +240,7 @@
 	} else {
 		answer = in.runOnce(ctx, req)
 	}
+	answer = req.body.explain(answer)
 	if answer.Outcome == outcome.NotRun {
 		in.returnQuota(req)
 	}
@@ -238,7 +251,7 @@
 // newRequest reads a request and resolves its policy. It returns an answer for a
 // request that cannot be run.
 func (in *Ingress) newRequest(wr http.ResponseWriter, httpReq *http.Request, now time.Time) (*request, *wire.RunAnswer) {
-	req := &request{receivedAt: now}
+	req := &request{receivedAt: now, endsWithConnection: !httpReq.ProtoAtLeast(1, 1)}
 	if in.opts.Dialect.Key != "" {
 		req.key = httpReq.Header.Get(in.opts.Dialect.Key)
 	}
@@ -282,7 +295,7 @@
 	if rejection := in.takeQuota(httpReq.Context(), req); rejection != nil {
 		return req, rejection
 	}
-	body, err := in.opts.Bodies.Read(httpReq.Body, min(req.policy.BodyLimit, wire.MaxBody))
+	body, err := in.readBody(wr, req, httpReq)
 	if err != nil {
 		wr.Header().Set("Connection", "close") // Keeps the server from reading the rest, which may have no end.
 	}
@@ -294,11 +307,12 @@
 	case err != nil:
 		return req, req.reject(outcome.BadRequest, "the body could not be read")
 	}
-	req.bodyBytes = len(body)
+	req.bodyBytes = req.body.size(len(body))
 	req.runRequest = wire.RunRequest{
 		Request: req.id, Service: path.Service, Kind: path.Kind, Firm: firm, Rank: req.policy.Rank, OrganisationRank: req.organisationRank(), Idempotent: req.policy.Idempotent,
 		Method: httpReq.Method, Host: httpReq.Host, URI: httpReq.URL.RequestURI(), Header: in.forwardHeader(httpReq.Header, req, caller), Body: body,
-		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target, CostClass: req.costClass(httpReq.URL.Path, len(body)),
+		BodyLimit: req.policy.BodyLimit, Target: req.policy.Target, CostClass: req.costClass(httpReq.URL.Path, req.bodyBytes),
+		AcceptsStream: in.opts.Streams != nil && req.policy.BodyLimit > wire.MaxWholeAnswer,
 	}
 	return req, nil
 }
--- a/cactusd/internal/ingress/zonebytes.go
+++ b/cactusd/internal/ingress/zonebytes.go
@@ -65,9 +65,9 @@
 	if endpoint.Zone != in.opts.Zone {
 		in.opts.Metrics.Counter("ingress.crossed.attempts").Inc(1)
 		in.opts.Metrics.Counter("ingress.crossed.requestBytes").Inc(int64(req.bodyBytes))
-		in.opts.Metrics.Counter("ingress.crossed.answerBytes").Inc(int64(len(answer.Body)))
+		in.opts.Metrics.Counter("ingress.crossed.answerBytes").Inc(int64(answer.BodySize()))
 	}
 	if answer.Outcome == outcome.Ran && req.poolPolicy.ZoneByteCost > 0 {
-		in.sizes.Observe(sizeKind(req), len(answer.Body))
+		in.sizes.Observe(sizeKind(req), answer.BodySize())
 	}
 }
--- a/core/bodybuffer/bodybuffer.go
+++ b/core/bodybuffer/bodybuffer.go
@@ -14,6 +14,7 @@
 package bodybuffer
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -89,7 +90,72 @@
 	}
 }
 
-// Release returns the memory of a body that Read returned. Call it once for each body.
+// ReadStart reads a body of up to limit bytes. If the body is larger, or the bodies held
+// leave no memory for it, it returns what it has read and a reader of the rest. Otherwise
+// rest is nil. The caller passes start to Release.
+func (bu *Buffer) ReadStart(reader io.Reader, limit int) (start []byte, rest io.Reader, err error) {
+	for len(start) < limit {
+		if len(start) == cap(start) {
+			grown, err := bu.grow(start)
+			if err != nil {
+				return start, reader, nil //nolint:nilerr // The rest shows that not all was read.
+			}
+			start = grown
+		}
+		count, err := reader.Read(start[len(start):min(cap(start), limit)])
+		start = start[:len(start)+count]
+		if errors.Is(err, io.EOF) {
+			return start, nil, nil
+		}
+		if err != nil {
+			bu.Release(start)
+			return nil, nil, fmt.Errorf("read body: %w", err)
+		}
+	}
+	return bu.checkEnd(reader, start)
+}
+
+// checkEnd returns a body that has as many bytes as may be read, and a reader of the rest
+// if there is one.
+func (bu *Buffer) checkEnd(reader io.Reader, start []byte) ([]byte, io.Reader, error) {
+	for {
+		next := make([]byte, 1)
+		count, err := reader.Read(next)
+		switch {
+		case count > 0:
+			return start, io.MultiReader(bytes.NewReader(next), &failedReader{reader, err}), nil
+		case errors.Is(err, io.EOF):
+			return start, nil, nil
+		case err != nil:
+			bu.Release(start)
+			return nil, nil, fmt.Errorf("read body: %w", err)
+		}
+	}
+}
+
+// failedReader returns an error that came with the last bytes, or reads on if there was
+// none.
+type failedReader struct {
+	io.Reader
+	err error
+}
+
+func (fa *failedReader) Read(data []byte) (int, error) {
+	if fa.err != nil {
+		return 0, fa.err
+	}
+	return fa.Reader.Read(data)
+}
+
+// Hold counts a body that is in memory already, such as one that came in a message. It
+// does not fail, since the memory is in use in any case; other bodies find less.
+func (bu *Buffer) Hold(body []byte) {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	bu.used += cap(body)
+}
+
+// Release returns the memory of a body that Read, ReadStart or Hold counted. Call it once for each body.
 func (bu *Buffer) Release(body []byte) {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -53,7 +53,7 @@
 	durationKey("calmLength", time.Second, 24*time.Hour, "20s", LevelService, "Mean time between two failure bursts of an upstream.", func(po *Policy) *time.Duration { return &po.CalmLength }),
 	claimHoldersKey(),
 	intKey("coldPercent", "percent", 0, 100, "0", LevelService, "Share of its slots that an upstream uses while it reports that it is cold; 0 sends it no requests.", func(po *Policy) *int { return &po.ColdPercent }),
-	costAwareKey(),
+	optional(costAwareKey()),
 	durationKey("deadline", time.Millisecond, 24*time.Hour, "5s", LevelKind, "Longest time that a request may take, including queueing and all attempts.", func(po *Policy) *time.Duration { return &po.Deadline }),
 	intKey("doubtPercent", "percent", 0, 100, "0", LevelService, "Probability of a failure burst from which an upstream gets no non-idempotent requests; 0 switches this off.", func(po *Policy) *int { return &po.DoubtPercent }),
 	durationKey("ejectBase", 100*time.Millisecond, time.Hour, "10s", LevelService, "First ejection duration of an upstream; doubles when the upstream flaps.", func(po *Policy) *time.Duration { return &po.EjectBase }),
@@ -91,7 +91,7 @@
 	durationKey("target", time.Millisecond, 24*time.Hour, "250ms", LevelKind, "Target latency of the kind.", func(po *Policy) *time.Duration { return &po.Target }),
 	titleKey(),
 	intKey("trialSuccesses", "requests", 1, 1000, "5", LevelService, "Consecutive successful idempotent requests after which an ejected upstream is used again.", func(po *Policy) *int { return &po.TrialSuccesses }),
-	durationKey("zoneByteCost", 0, time.Minute, "0s", LevelService, "Wait that an endpoint in another availability zone must save for each kilobyte of a request and its answer beyond the first 8, in addition to zoneCost; 0 counts no bytes.", func(po *Policy) *time.Duration { return &po.ZoneByteCost }),
+	optional(durationKey("zoneByteCost", 0, time.Minute, "0s", LevelService, "Wait that an endpoint in another availability zone must save for each kilobyte of a request and its answer beyond the first 8, in addition to zoneCost; 0 counts no bytes.", func(po *Policy) *time.Duration { return &po.ZoneByteCost })),
 	durationKey("zoneCost", 0, time.Minute, "100ms", LevelService, "Wait that an endpoint in another availability zone must save, by its wait estimate, to be chosen.", func(po *Policy) *time.Duration { return &po.ZoneCost }),
 	intKey("zoneSpillPercent", "percent", 0, 1000, "80", LevelService, "Load of the own availability zone from which requests go to other zones.", func(po *Policy) *int { return &po.ZoneSpillPercent }),
 }
