test(gate): kept connections are counted as the kernel sees them

Its upstream counted a connection as open until the goroutine that serves it had noticed the end, 20 ms after each round at most; under load that takes longer, while the gate had closed the connection before it opened the next one. Ruled out: a fault of the gate, since no connection was opened before the idle ones were closed.

--- a/cactusd/internal/gate/repeated_refusal_test.go
+++ b/cactusd/internal/gate/repeated_refusal_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -101,12 +103,12 @@
 func TestMissingIDsKeepToTheAnnouncedConnections(t *testing.T) {
 	is := is.New(t)
 	const slots = 4
-	var open peak
+	var open openConns
 	var requests atomic.Int64
 	address := rawUpstream(t, func(con net.Conn) {
 		defer func() { _ = con.Close() }()
-		open.begin()
-		defer open.end()
+		open.add(con)
+		defer open.remove(con)
 		reader := bufio.NewReader(con)
 		for {
 			req, err := http.ReadRequest(reader)
@@ -132,7 +134,52 @@
 			})
 		}
 		group.Wait()
-		time.Sleep(20 * time.Millisecond) // Lets the upstream see that connections were closed.
 	}
-	is.True(open.most.Load() <= slots)
+	is.True(open.most <= slots)
+}
+
+// openConns counts the connections of an upstream that the gate has not closed.
+type openConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	most  int
+}
+
+// add adds a connection that the gate has opened. What it closed before has ended by now,
+// whether or not the goroutine that serves it has noticed.
+func (op *openConns) add(con net.Conn) {
+	op.mu.Lock()
+	defer op.mu.Unlock()
+	if op.conns == nil {
+		op.conns = make(map[net.Conn]bool)
+	}
+	op.conns[con] = true
+	open := 0
+	for other := range op.conns {
+		if !isClosedByPeer(other) {
+			open++
+		}
+	}
+	op.most = max(op.most, open)
+}
+
+func (op *openConns) remove(con net.Conn) {
+	op.mu.Lock()
+	defer op.mu.Unlock()
+	delete(op.conns, con)
+}
+
+// isClosedByPeer reports whether the peer has closed or reset a connection.
+func isClosedByPeer(con net.Conn) bool {
+	raw, err := con.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		count, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = err == nil && count == 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
+	})
+	return err != nil || closed
 }
