fix(gate): a response with an invalid status is no answer

Callers could get a response that stood inside the body of one with status 000, 099, +20 or 101, as the answer of the upstream, and 600 and 999 as complete answers. Cause: every status below 200 was taken for an informational response, whose head is skipped; above 599 nothing was checked. Ruled out: 000 itself was never passed on. The range of final statuses has one owner now, wire.IsFinalStatus; the ingress applies it to what gates and claim holders return as well.

--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -68,6 +68,7 @@
 var (
 	errStaleResponse    = errors.New("the response belongs to a different attempt")
 	errMissingID        = errors.New("the response has no id on a connection with earlier attempts, to one of which it may belong")
+	errInvalidStatus    = errors.New("the response has an invalid status")
 	errUnframedResponse = errors.New("the response has neither a Content-Length nor chunked encoding, so a truncated body cannot be detected")
 )
 
@@ -224,8 +225,11 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("read response: %w", err)
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
+		if !wire.IsFinalStatus(resp.StatusCode) {
+			if isInterim(resp.StatusCode) {
+				continue
+			}
+			return nil, nil, fmt.Errorf("%w: %q", errInvalidStatus, resp.Status)
 		}
 		body, err := ex.readBody(resp)
 		echoed := resp.Header.Get(ex.client.dialect.Attempt)
@@ -256,6 +260,12 @@
 	return nil, nil, errStaleResponse
 }
 
+// isInterim reports whether another response to the same request follows. After 101 the
+// connection would carry another protocol, which no request asks for.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // readBody reads the complete body. A response without framing is an error,
 // unless the dialect allows bodies that end when the connection closes:
 // otherwise a truncated body can't be detected.
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -140,6 +140,7 @@
 	defer in.attempts.Delete(run.Attempt)
 	in.tracker.begin(chosen.endpoint.Key)
 	answer, err := in.opts.Runner.Run(ctx, chosen.endpoint, run)
+	answer = answer.Checked()
 	now = in.opts.Clock.Now()
 	in.tracker.finish(now, chosen.endpoint.Key, run.Kind, answer, err == nil)
 	if err != nil {
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -340,3 +340,24 @@
 		fi.send("GET", "/look", "", "")
 	}
 }
+
+// TestInvalidStatusOfAGateIsNoAnswer lets the gate of a daemon of an earlier version return
+// the response of an upstream with a status that no response can have. net/http panics when
+// it is to write 000, and 600 is no status either.
+func TestInvalidStatusOfAGateIsNoAnswer(t *testing.T) {
+	for _, status := range []int{0, 20, 99, 101, 600, 999, 1000, -1} {
+		is := is.New(t)
+		fi := newFixture(t, ran(status))
+		rec := fi.send("POST", "/cut", "", "{}")
+		is.Equal(rec.Code, http.StatusBadGateway)
+		is.Equal(rec.Header().Get(outcome.HeaderOutcome), string(outcome.Unknown))
+
+		fi = newFixture(t, ran(status), ran(200))
+		fi.fillRetryBudget(t)
+		is.Equal(fi.send("GET", "/look", "", "").Code, http.StatusOK) // It is retried like a failure.
+
+		fi = newFixture(t, ran(200))
+		fi.claims.grant = claim.Grant{Result: claim.LostFinished, Record: &claim.Record{Status: status, Whole: true}}
+		is.Equal(fi.send("POST", "/cut", "0198c5a0-0000-7000-8000-000000000000", "{}").Code, http.StatusBadGateway)
+	}
+}
--- a/cactusd/internal/ingress/nonidempotent.go
+++ b/cactusd/internal/ingress/nonidempotent.go
@@ -131,7 +131,7 @@
 	for name, value := range rec.Header {
 		header[name] = []string{value}
 	}
-	return wire.RunAnswer{Outcome: outcome.Ran, Status: rec.Status, Header: header, Body: rec.Body}
+	return wire.RunAnswer{Outcome: outcome.Ran, Status: rec.Status, Header: header, Body: rec.Body}.Checked()
 }
 
 func newClaimRecord(answer wire.RunAnswer) *claim.Record {
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -8,6 +8,7 @@
 package wire
 
 import (
+	"fmt"
 	"time"
 
 	"cactusstream.example/core/health"
@@ -164,3 +165,27 @@
 func Unknown(reason outcome.Reason, detail string) RunAnswer {
 	return RunAnswer{Outcome: outcome.Unknown, Reason: reason, Detail: detail}
 }
+
+// The range of the statuses of final responses. RFC 9110, section 15, calls statuses outside
+// 100 to 599 invalid. net/http parses any three digits, so that 000 reads like an
+// informational response, and panics when it is to write such a status.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// IsFinalStatus reports whether a response with the status can be the answer to a request.
+func IsFinalStatus(status int) bool {
+	return status >= minFinalStatus && status <= maxFinalStatus
+}
+
+// Checked returns the answer, or one that may have run if the answer has a status that no
+// response of an upstream can have. Daemons of earlier versions pass such responses on.
+func (ru RunAnswer) Checked() RunAnswer {
+	if ru.Outcome != outcome.Ran || IsFinalStatus(ru.Status) {
+		return ru
+	}
+	checked := Unknown(outcome.UpstreamFailed, fmt.Sprintf("the response of the upstream has the invalid status %d", ru.Status))
+	checked.Load, checked.Stats = ru.Load, ru.Stats
+	return checked
+}
