--- a/cactusd/internal/quota/quota_test.go
+++ b/cactusd/internal/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -201,3 +202,50 @@
 	}
 	is.Equal(started.Dump()["members"], 4) // Those that d0 knows, and itself.
 }
+
+// TestStoppedDaemonIsReplaced guards against quota that is lost for minutes with a daemon
+// that has stopped, and against one that is frozen and counts as stopped.
+func TestStoppedDaemonIsReplaced(t *testing.T) {
+	is := is.New(t)
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = frozen.Close() }()
+	stopped, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(stopped.Close())
+	now := clock.NewFake(time.Unix(1000, 0))
+	var view atomic.Pointer[fleet.View]
+	setStatus := func(status member.Status) {
+		view.Store(&fleet.View{Members: map[string]member.Record{
+			"d0": {ID: "d0"},
+			"d1": {ID: "d1", PeerAddress: frozen.Addr().String(), Status: status},
+			"d2": {ID: "d2", PeerAddress: stopped.Addr().String(), Status: status},
+		}})
+	}
+	mux, tokens := link.NewMux(), auth.NewTokens("a-token-for-the-tests")
+	pool := link.NewPool("d0", tokens, mux)
+	defer pool.Close()
+	qu := quota.New(quota.Options{
+		Clock: now, Log: events.Discard(), Metrics: metrics.NewRegistry(), Mux: mux, Pool: pool, Self: "d0",
+		View: view.Load, HasJoined: func() bool { return false }, SettingsVersion: func() uint64 { return 1 },
+	})
+	setStatus(member.Alive)
+	qu.Tick()
+	setStatus(member.Dead)
+	qu.Tick()
+	is.Equal(qu.Take(context.Background(), &settings.Organisation{Name: "acme", Rate: 5}).Outcome, corequota.Unavailable)
+	now.Advance(50 * time.Second)
+	qu.Tick()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(qu.Dump()["members"], 3)
+	deadline := time.Now().Add(10 * time.Second)
+	for now.Advance(11 * time.Second); qu.Dump()["members"] != 2; now.Advance(6 * time.Second) {
+		is.True(time.Now().Before(deadline))
+		qu.Tick()
+		time.Sleep(100 * time.Millisecond)
+	}
+	now.Advance(time.Minute)
+	qu.Tick()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(qu.Dump()["members"], 2)
+}
