feat(process): settings for the limits of connections, memory and stalled requests

Nothing uses them yet: the tests of misbehaving clients come first and need the settings to lower the limits.

--- a/core/process/process.go
+++ b/core/process/process.go
@@ -70,6 +70,7 @@
 	TLSAuthority   string
 	// StopTimeout limits the duration of a graceful shutdown.
 	StopTimeout time.Duration
+	Limits      Limits
 }
 
 // ExitError is an error with the exit code that the program returns for it.
@@ -125,7 +126,7 @@
 	co.LogFormat = "json"
 	co.LogLevel = "info"
 	co.StopTimeout = 20 * time.Second
-	return []configfile.Key{
+	return append(co.Limits.Keys(), []configfile.Key{
 		configfile.String("process", "id", &co.ID, "a name, unique in the fleet", configfile.Required),
 		configfile.String("process", "zone", &co.Zone, "the name of the availability zone", configfile.Required),
 		configfile.Duration("process", "stopBound", &co.StopTimeout, time.Second, 10*time.Minute),
@@ -139,7 +140,7 @@
 		configfile.File("tls", "certificate", &co.TLSCertificate, "the path of a PEM file"),
 		configfile.File("tls", "key", &co.TLSKey, "the path of a PEM file"),
 		configfile.File("tls", "authority", &co.TLSAuthority, "the path of a PEM file"),
-	}
+	}...)
 }
 
 // Logger returns a logger with the configured format and level.
