feat(process): a budget of connections and memory for each process

Cause: nothing bounded what peers make a process hold besides request bodies; 400 connections with heads of 2,500 short fields took 145 MB, configs that stop short 237 MB on a keeper, and idle connections any number of descriptors.

Change: each connection has an account in core/bodybuffer, to which heads (before net/http parses them), bodies and answers that the socket has not taken are charged. When connections or memory run short, the accounts that hold most and have made no progress for longest are closed first; a request that runs is never closed. The connections of links leave the budget once they are hijacked.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -38,7 +38,6 @@
 	"cactusstream.example/cactusd/internal/ingress"
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/auth"
-	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/claim"
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/dialect"
@@ -59,10 +58,6 @@
 	// that of ingress.Ingress.RemoveDeparted.
 	gateTickInterval       = 100 * time.Millisecond
 	removeDepartedInterval = 30 * time.Second
-	// maxBodyMemory limits the bodies of requests and responses that a daemon holds,
-	// in bytes. Three quarters of it, 16.5 MiB, are for bodies over 64 KiB, which holds
-	// two of the largest or four of 4 MB at a time.
-	maxBodyMemory = 22 << 20
 	// answerMargin is the part of a shutdown that is left for writing answers.
 	answerMargin = 200 * time.Millisecond
 	// maxInheritWait is how long an announcement waits for the departures from earlier
@@ -123,6 +118,7 @@
 	ingress  *ingress.Ingress
 	follower *follower.Follower
 
+	guard     *process.Guard
 	callers   *process.Server
 	peers     *process.Server
 	operators *process.Server
@@ -147,7 +143,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	bodies := bodybuffer.New(maxBodyMemory)
+	da.guard = process.NewGuard(opts.Config.Limits, opts.Log, da.metrics)
+	bodies := da.guard.Bodies()
 	da.gate = gate.New(gate.Options{Bodies: bodies, Dialect: opts.Upstreams, Clock: opts.Clock, Log: opts.Log, Metrics: da.metrics, Policy: da.fleet.PoolPolicy, OnChange: da.publishUpstreams, Inherited: da.inheritedDepartures, UpstreamCount: da.upstreamCount, LastCallFailure: func() time.Time { return da.ingress.LastFailure() }})
 	ingressOpts := ingress.Options{
 		Bodies: bodies,
@@ -174,12 +171,16 @@
 		return da.gate.EstimateWait(req), nil
 	})
 	link.HandleNotice(mux, wire.MethodWithdraw, func(_ string, wit wire.Withdrawal) { da.gate.Withdraw(wit) })
-	da.callers = process.NewServer(opts.CallerAddress, da.ingress, nil)
-	da.peers = process.NewServer(opts.Config.PeerListenAddress(), da.links, opts.TLS.Server(true))
-	da.operators = process.NewServer(opts.Config.OperatorAddress, da.operatorsHandler(), opts.TLS.Server(false))
+	da.callers = process.NewServer(opts.CallerAddress, da.ingress, nil).Guard(da.guard, true)
+	da.peers = process.NewServer(opts.Config.PeerListenAddress(), da.links, opts.TLS.Server(true)).Guard(da.guard, false)
+	da.operators = process.NewServer(opts.Config.OperatorAddress, da.operatorsHandler(), opts.TLS.Server(false)).Guard(da.guard, false)
 	return da, nil
 }
 
+// Guard returns what keeps the servers of the process within its limits, for further
+// servers.
+func (da *Daemon) Guard() *process.Guard { return da.guard }
+
 // Start starts to listen and serve. The ingress briefly holds callers' requests
 // until the settings and the fleet are known. If claims are used, the callers'
 // listener itself starts only after both were requested, because a request
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -256,7 +256,7 @@
 	if in.outlastsShutdown(req) {
 		return req, req.reject(outcome.Stopping, "the daemon shuts down before the request's deadline")
 	}
-	body, err := in.opts.Bodies.Read(httpReq.Body, min(req.policy.BodyLimit, wire.MaxBody))
+	body, err := in.opts.Bodies.ReadFor(bodybuffer.AccountOf(httpReq.Context()), httpReq.Body, min(req.policy.BodyLimit, wire.MaxBody))
 	if err != nil {
 		wr.Header().Set("Connection", "close") // Keeps the server from reading the rest, which may have no end.
 	}
--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -72,6 +72,7 @@
 	fleet          *fleet.Fleet
 	pool           *link.Pool
 	linkServer     *link.Server
+	guard          *process.Guard
 	peerServer     *process.Server
 	operatorServer *process.Server
 	cancel         context.CancelFunc
@@ -123,14 +124,19 @@
 		}
 	}
 	se.linkServer = link.NewServer(mux, opts.FleetTokens, se.logRefusedCredentials)
-	se.peerServer = process.NewServer(opts.Config.PeerListenAddress(), se.linkServer, opts.TLS.Server(true))
-	se.operatorServer = process.NewServer(opts.Config.OperatorAddress, se.operatorsHandler(), opts.TLS.Server(false))
+	se.guard = process.NewGuard(opts.Config.Limits, opts.Log, se.metrics)
+	se.peerServer = process.NewServer(opts.Config.PeerListenAddress(), se.linkServer, opts.TLS.Server(true)).Guard(se.guard, false)
+	se.operatorServer = process.NewServer(opts.Config.OperatorAddress, se.operatorsHandler(), opts.TLS.Server(false)).Guard(se.guard, false)
 	return se, nil
 }
 
 // Keeper returns the keeper, for the HTTP API of a platform.
 func (se *Server) Keeper() *keeper.Keeper { return se.keeper }
 
+// Guard returns what keeps the servers of the process within its limits, for further
+// servers.
+func (se *Server) Guard() *process.Guard { return se.guard }
+
 // Start opens the listeners and runs the keeper until the context is cancelled.
 func (se *Server) Start(ctx context.Context) error {
 	for _, srv := range []*process.Server{se.peerServer, se.operatorServer} {
--- a/core/bodybuffer/bodybuffer.go
+++ b/core/bodybuffer/bodybuffer.go
@@ -11,6 +11,15 @@
 //	buf := bodybuffer.New(16 << 20)
 //	body, err := buf.Read(reader, limit)
 //	defer buf.Release(body)
+//
+// A Buffer is also the budget of a process for what it holds for its peers. Each
+// connection has an account, to which its heads, bodies and answers are charged. When
+// the budget runs short, the accounts that hold most and have made no progress for
+// longest are closed first. docs/design/overload-of-clients.md says why.
+//
+//	buf := bodybuffer.NewBudget(limits, clock.Real{})
+//	account := buf.Open(closeConnection)
+//	body, err := buf.ReadFor(account, reader, limit)
 package bodybuffer
 
 import (
@@ -18,6 +27,9 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
+
+	"cactusstream.example/core/clock"
 )
 
 const (
@@ -41,15 +53,21 @@
 // Buffer counts the memory of the bodies that a process holds. It is safe for
 // concurrent use.
 type Buffer struct {
-	limit int
+	limit  int
+	limits Limits
+	clock  clock.Clock
 
-	mu   sync.Mutex
-	used int
+	mu       sync.Mutex
+	used     int
+	accounts map[*Account]struct{}
+	// total is the sum of what the accounts hold.
+	total    int
+	lastPass time.Time
 }
 
 // New returns a Buffer that holds up to limit bytes.
 func New(limit int) *Buffer {
-	return &Buffer{limit: limit}
+	return NewBudget(Limits{Bodies: limit}, clock.Real{})
 }
 
 // Used returns the number of bytes held.
@@ -63,10 +81,16 @@
 // the bodies held exceed the limit of the Buffer, and does not read the rest. The
 // caller passes the body to Release once the body is not needed any more.
 func (bu *Buffer) Read(reader io.Reader, limit int) ([]byte, error) {
+	return bu.ReadFor(nil, reader, limit)
+}
+
+// ReadFor is Read for a body that is charged to an account, which may be nil. If there is
+// no memory for the body, accounts that have made no progress give way.
+func (bu *Buffer) ReadFor(ac *Account, reader io.Reader, limit int) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown, err := bu.grow(body)
+			grown, err := bu.growFor(ac, body)
 			if err != nil {
 				bu.Release(body)
 				return nil, err
@@ -96,6 +120,31 @@
 	bu.used -= cap(body)
 }
 
+// growFor is grow for a body of an account.
+func (bu *Buffer) growFor(ac *Account, body []byte) ([]byte, error) {
+	grown, err := bu.grow(body)
+	if ac == nil {
+		return grown, err
+	}
+	if err != nil && bu.freeBodies(ac, max(minCapacity, cap(body))) {
+		for waited := time.Duration(0); err != nil && waited < freeWait; waited += passInterval {
+			time.Sleep(passInterval)
+			grown, err = bu.grow(body)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !ac.Reserve(cap(grown) - cap(body)) {
+		bu.Release(grown)
+		bu.mu.Lock()
+		bu.used += cap(body) // The caller releases the body as it was.
+		bu.mu.Unlock()
+		return nil, fmt.Errorf("%w: no memory for the connection", ErrFull)
+	}
+	return grown, nil
+}
+
 // grow returns a copy of a body with a larger capacity.
 func (bu *Buffer) grow(body []byte) ([]byte, error) {
 	capacity := max(minCapacity, 2*cap(body))
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -71,6 +71,7 @@
 	LinkOpened         = define(600, "linkOpened", logrus.DebugLevel, "A link to another process was opened.")
 	LinkLost           = define(601, "linkLost", logrus.InfoLevel, "A link to another process was lost.")
 	CredentialsRefused = define(602, "credentialsRefused", logrus.WarnLevel, "A call without valid credentials was rejected.")
+	ConnectionsClosed  = define(662, "connectionsClosed", logrus.WarnLevel, "Connections of peers were closed or refused, because memory or connections ran short or because they made no progress; the fields count them by reason. Written at most once a second.")
 )
 
 var registry []Event
--- /dev/null
+++ b/core/process/guardedconn.go
@@ -0,0 +1,173 @@
+package process
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+
+	"cactusstream.example/core/bodybuffer"
+)
+
+const (
+	// lineCost and headByteCost are the memory in bytes that net/http and the handler use
+	// for each line and each byte of a head.
+	lineCost     = 128
+	headByteCost = 4
+	// maxHeadLines limits the lines of a head. One of 16,384 bytes, the most that callers
+	// may send, has at most 4,096.
+	maxHeadLines = 4096
+	// smallWrite is the largest write that is not charged, in bytes: net/http's own buffer
+	// holds it.
+	smallWrite = 4 << 10
+	// writePiece is the size of the pieces in which a large answer is written, in bytes.
+	writePiece = 64 << 10
+)
+
+var (
+	errHeadTooLong = errors.New("process: the head of the request has too many lines")
+	errNoMemory    = errors.New("process: no memory for the connection")
+)
+
+// headCounter counts the lines of a head. Bytes after its end don't count.
+type headCounter struct {
+	lines   int
+	isEmpty bool
+	ended   bool
+}
+
+// add returns the number of lines that end in data.
+func (he *headCounter) add(data []byte) int {
+	before := he.lines
+	for _, char := range data {
+		switch {
+		case he.ended:
+			return he.lines - before
+		case char == '\n':
+			he.ended = he.isEmpty && he.lines > 0
+			he.lines++
+			he.isEmpty = true
+		case char != '\r':
+			he.isEmpty = false
+		}
+	}
+	return he.lines - before
+}
+
+// guardedConn is a connection whose reads and writes are charged to an account.
+type guardedConn struct {
+	net.Conn
+	guard   *Guard
+	account *bodybuffer.Account
+	isTLS   bool
+	// released is set once the connection is closed or has become a link.
+	released atomic.Bool
+	// inHead is set until the head of the next request has been read.
+	inHead  atomic.Bool
+	head    headCounter
+	writing atomic.Bool
+	unsent  int // Used by the sweep only.
+}
+
+// Read reads from the peer. A read of one byte is the one by which net/http notices that
+// the peer goes away while a request runs, and doesn't wait for the peer. It can't be told
+// apart under TLS, where no read during a request counts as waiting.
+func (co *guardedConn) Read(data []byte) (int, error) {
+	if len(data) <= 1 || co.released.Load() || co.isTLS && !co.inHead.Load() {
+		return co.Conn.Read(data) //nolint:wrapcheck // net/http looks at the error.
+	}
+	co.account.Await()
+	count, err := co.Conn.Read(data)
+	co.account.Moved(count)
+	if count > 0 && co.inHead.Load() {
+		if refusal := co.chargeHead(data[:count]); refusal != nil {
+			reset(co.Conn)
+			return 0, refusal
+		}
+	}
+	return count, err //nolint:wrapcheck // net/http looks at the error.
+}
+
+// chargeHead charges a part of a head before net/http parses it. A part that exceeds the
+// limits has not run.
+func (co *guardedConn) chargeHead(data []byte) error {
+	if co.isTLS || co.head.ended {
+		return nil
+	}
+	lines := co.head.add(data)
+	if co.head.lines > maxHeadLines {
+		co.guard.count("refused.headLines")
+		return errHeadTooLong
+	}
+	if !co.account.Reserve(headByteCost*len(data) + lineCost*lines) {
+		co.guard.count("refused.memory")
+		return errNoMemory
+	}
+	return nil
+}
+
+// Write writes to the peer. A large answer counts as held until the socket has taken it.
+func (co *guardedConn) Write(data []byte) (int, error) {
+	if co.released.Load() {
+		return co.Conn.Write(data) //nolint:wrapcheck // net/http looks at the error.
+	}
+	if len(data) > smallWrite {
+		if !co.account.Reserve(len(data)) {
+			co.guard.count("closed.memory")
+			reset(co.Conn)
+			return 0, errNoMemory
+		}
+		defer co.account.Return(len(data))
+	}
+	written := 0
+	for {
+		piece := data[written:min(len(data), written+writePiece)]
+		co.account.Await()
+		co.writing.Store(true)
+		count, err := co.Conn.Write(piece)
+		co.writing.Store(false)
+		co.account.Moved(count)
+		written += count
+		if err != nil || written == len(data) {
+			return written, err //nolint:wrapcheck // net/http looks at the error.
+		}
+	}
+}
+
+// CloseWrite closes the writing side, which net/http does before it closes a connection
+// whose request has not been read to its end.
+func (co *guardedConn) CloseWrite() error {
+	half, ok := co.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return net.ErrClosed
+	}
+	if err := half.CloseWrite(); err != nil {
+		return fmt.Errorf("close write: %w", err)
+	}
+	return nil
+}
+
+// SyscallConn returns the raw connection.
+func (co *guardedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := co.Conn.(syscall.Conn)
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return raw.SyscallConn() //nolint:wrapcheck // The wrapper adds nothing.
+}
+
+// observeWrite counts what the peer has acknowledged since the last call of a write that
+// waits. The socket accepts more only once a third of its buffer is free, so the write
+// itself doesn't show the progress of a slow reader.
+func (co *guardedConn) observeWrite() {
+	if !co.writing.Load() {
+		co.unsent = 0
+		return
+	}
+	unsent := unsentBytes(co.Conn)
+	if unsent < co.unsent {
+		co.account.Progress(co.unsent - unsent)
+	}
+	co.unsent = unsent
+}
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -87,6 +87,7 @@
 	// served is closed when the server accepts no more connections.
 	served   chan struct{}
 	conns    *connTracker
+	guard    *Guard
 	draining atomic.Bool
 }
 
@@ -183,6 +184,23 @@
 	return se
 }
 
+// Guard makes the server keep within the limits of the process. Call it before Start. The
+// handler may charge bodies to the connection itself if it uses bodybuffer.AccountOf;
+// otherwise they are charged as they are read.
+func (se *Server) Guard(gu *Guard, handlerCharges bool) *Server {
+	se.guard = gu
+	track := se.http.ConnState
+	se.http.ConnState = func(con net.Conn, state http.ConnState) {
+		track(con, state)
+		setGuardState(con, state)
+	}
+	se.http.ConnContext = withAccount
+	if !handlerCharges {
+		se.http.Handler = chargeBodies(se.http.Handler)
+	}
+	return se
+}
+
 // closeWhileDraining makes the responses end their connections once Drain was called.
 func (se *Server) closeWhileDraining(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
@@ -232,7 +250,9 @@
 	}
 	se.listener, _ = lis.(*net.TCPListener)
 	if se.http.TLSConfig != nil {
-		lis = tls.NewListener(lis, se.http.TLSConfig)
+		lis = tls.NewListener(se.guard.listener(lis, true), se.http.TLSConfig)
+	} else {
+		lis = se.guard.listener(lis, false)
 	}
 	se.served = make(chan struct{})
 	go func() {
