--- a/core/process/guard.go
+++ b/core/process/guard.go
@@ -204,26 +204,37 @@
 	switch state {
 	case http.StateNew:
 	case http.StateActive:
-		co.inHead.Store(false)
-		co.account.Begin()
+		co.begin()
 	case http.StateIdle:
-		co.head = headCounter{}
-		co.inHead.Store(true)
-		co.account.End()
+		co.end()
 	case http.StateHijacked, http.StateClosed:
 		co.released.Store(true)
 		co.guard.forget(co)
 	}
 }
 
+type connKey struct{}
+
 // withAccount is the ConnContext callback of a guarded server.
 func withAccount(ctx context.Context, con net.Conn) context.Context {
 	if co := guardedOf(con); co != nil {
-		return bodybuffer.WithAccount(ctx, co.account)
+		return bodybuffer.WithAccount(context.WithValue(ctx, connKey{}, co), co.account)
 	}
 	return ctx
 }
 
+// limitAhead ends connections whose peers send many requests without waiting for answers.
+// The requests behind the last one that is answered have not run.
+func limitAhead(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		if co, ok := req.Context().Value(connKey{}).(*guardedConn); ok && co.ahead >= maxAhead {
+			co.guard.count("closed.pipelined")
+			wr.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(wr, req)
+	})
+}
+
 // chargeBodies charges what a handler reads of a body to the connection.
 func chargeBodies(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
--- a/core/process/guardedconn.go
+++ b/core/process/guardedconn.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"cactusstream.example/core/bodybuffer"
 )
@@ -23,6 +24,11 @@
 	smallWrite = 4 << 10
 	// writePiece is the size of the pieces in which a large answer is written, in bytes.
 	writePiece = 64 << 10
+	// maxAhead is the number of requests that a peer may send in a row without waiting for
+	// an answer. The answer to the last one ends the connection.
+	maxAhead = 100
+	// minReadWait is the duration of a read that shows that the peer waited for an answer.
+	minReadWait = time.Millisecond
 )
 
 var (
@@ -66,6 +72,9 @@
 	// inHead is set until the head of the next request has been read.
 	inHead  atomic.Bool
 	head    headCounter
+	// ahead counts the requests since the peer last waited for an answer before it sent the
+	// next one. Only the goroutine of net/http that serves the connection uses it.
+	ahead int
 	writing atomic.Bool
 	unsent  int // Used by the sweep only.
 }
@@ -78,8 +87,12 @@
 		return co.Conn.Read(data) //nolint:wrapcheck // net/http looks at the error.
 	}
 	co.account.Await()
+	startedAt := time.Now()
 	count, err := co.Conn.Read(data)
 	co.account.Moved(count)
+	if co.inHead.Load() && time.Since(startedAt) > minReadWait {
+		co.ahead = 0
+	}
 	if count > 0 && co.inHead.Load() {
 		if refusal := co.chargeHead(data[:count]); refusal != nil {
 			reset(co.Conn)
@@ -113,12 +126,13 @@
 		return co.Conn.Write(data) //nolint:wrapcheck // net/http looks at the error.
 	}
 	if len(data) > smallWrite {
-		if !co.account.Reserve(len(data)) {
+		held := cap(data) // The answer's array, of which data may be a part.
+		if !co.account.Reserve(held) {
 			co.guard.count("closed.memory")
 			reset(co.Conn)
 			return 0, errNoMemory
 		}
-		defer co.account.Return(len(data))
+		defer co.account.Return(held)
 	}
 	written := 0
 	for {
@@ -135,6 +149,20 @@
 	}
 }
 
+// begin marks the start of a request.
+func (co *guardedConn) begin() {
+	co.inHead.Store(false)
+	co.ahead++
+	co.account.Begin()
+}
+
+// end marks the end of an answer.
+func (co *guardedConn) end() {
+	co.head = headCounter{}
+	co.inHead.Store(true)
+	co.account.End()
+}
+
 // CloseWrite closes the writing side, which net/http does before it closes a connection
 // whose request has not been read to its end.
 func (co *guardedConn) CloseWrite() error {
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -195,6 +195,7 @@
 		setGuardState(con, state)
 	}
 	se.http.ConnContext = withAccount
+	se.http.Handler = limitAhead(se.http.Handler)
 	if !handlerCharges {
 		se.http.Handler = chargeBodies(se.http.Handler)
 	}
