fix(ingress): an answer counts in the budget until it is written

Cause: the gate releases an answer when it hands it to the ingress, which holds it while the caller doesn't read. Change: the ingress counts the answer, and a gate that finds no memory closes peers without progress, as request bodies do.

--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -208,6 +208,8 @@
 	} else {
 		answer = in.runOnce(ctx, req)
 	}
+	in.opts.Bodies.Hold(answer.Body)
+	defer in.opts.Bodies.Release(answer.Body)
 	in.write(wr, req, answer)
 	in.opts.Metrics.Observe(fmt.Sprintf("ingress.rank%d.micros", req.policy.Rank), in.opts.Clock.Now().Sub(started))
 }
--- a/core/bodybuffer/bodybuffer.go
+++ b/core/bodybuffer/bodybuffer.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// Hold counts a body that was not read with the Buffer, as long as a peer makes the process
+// hold it. The caller passes the body to Release afterwards.
+func (bu *Buffer) Hold(body []byte) {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	bu.used += cap(body)
+}
+
 // Release returns the memory of a body that Read returned. Call it once for each body.
 func (bu *Buffer) Release(body []byte) {
 	bu.mu.Lock()
@@ -126,17 +134,14 @@
 // growFor is grow for a body of an account.
 func (bu *Buffer) growFor(ac *Account, body []byte) ([]byte, error) {
 	grown, err := bu.grow(body)
-	if ac == nil {
-		return grown, err
-	}
 	if err != nil && bu.freeBodies(ac, max(minCapacity, cap(body))) {
 		for waited := time.Duration(0); err != nil && waited < freeWait; waited += passInterval {
 			time.Sleep(passInterval)
 			grown, err = bu.grow(body)
 		}
 	}
-	if err != nil {
-		return nil, err
+	if err != nil || ac == nil {
+		return grown, err
 	}
 	if !ac.Reserve(cap(grown) - cap(body)) {
 		bu.Release(grown)
