--- a/cactusd/internal/gate/answerstream.go
+++ b/cactusd/internal/gate/answerstream.go
@@ -53,7 +53,7 @@
 	if resp.ContentLength > wire.MaxWholeAnswer {
 		return nil, body, nil
 	}
-	start, rest, err = ex.client.bodies.ReadStart(body, wire.MaxWholeAnswer)
+	start, rest, err = ex.client.bodies.ReadStart(nil, body, wire.MaxWholeAnswer)
 	if err != nil {
 		return nil, nil, fmt.Errorf("read response: %w", err)
 	}
--- a/cactusd/internal/ingress/body.go
+++ b/cactusd/internal/ingress/body.go
@@ -57,7 +57,7 @@
 	limit := req.policy.BodyLimit
 	length := httpReq.ContentLength
 	if in.opts.Streams == nil || limit <= wire.MaxWholeRequest || length >= 0 && length <= wire.MaxWholeRequest {
-		return in.opts.Bodies.Read(httpReq.Body, min(limit, wire.MaxBody))
+		return in.opts.Bodies.ReadFor(bodybuffer.AccountOf(httpReq.Context()), httpReq.Body, min(limit, wire.MaxBody))
 	}
 	if length > int64(limit) {
 		return nil, fmt.Errorf("%w of %d bytes", bodybuffer.ErrTooLarge, limit)
@@ -65,7 +65,7 @@
 	var held []byte
 	var rest io.Reader = httpReq.Body
 	if length < 0 {
-		start, more, err := in.opts.Bodies.ReadStart(httpReq.Body, wire.MaxWholeRequest)
+		start, more, err := in.opts.Bodies.ReadStart(bodybuffer.AccountOf(httpReq.Context()), httpReq.Body, wire.MaxWholeRequest)
 		if err != nil || more == nil {
 			return start, err
 		}
--- a/core/bodybuffer/bodybuffer.go
+++ b/core/bodybuffer/bodybuffer.go
@@ -11,6 +11,15 @@
 //	buf := bodybuffer.New(16 << 20)
 //	body, err := buf.Read(reader, limit)
 //	defer buf.Release(body)
+//
+// A Buffer is also the budget of a process for what it holds for its peers. Each
+// connection has an account, to which its heads, bodies and answers are charged. When
+// the budget runs short, the accounts that hold most and have made no progress for
+// longest are closed first. docs/design/overload-of-clients.md says why.
+//
+//	buf := bodybuffer.NewBudget(limits, clock.Real{})
+//	account := buf.Open(closeConnection)
+//	body, err := buf.ReadFor(account, reader, limit)
 package bodybuffer
 
 import (
@@ -19,6 +28,9 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
+
+	"cactusstream.example/core/clock"
 )
 
 const (
@@ -42,15 +54,24 @@
 // Buffer counts the memory of the bodies that a process holds. It is safe for
 // concurrent use.
 type Buffer struct {
-	limit int
+	limit  int
+	limits Limits
+	clock  clock.Clock
 
-	mu   sync.Mutex
-	used int
+	mu       sync.Mutex
+	used     int
+	accounts map[*Account]struct{}
+	// total is the sum of what the accounts hold.
+	total int
+	// lastPass is the time of the last search for memory, and lastRefusal that of the last
+	// search for a connection in vain.
+	lastPass    time.Time
+	lastRefusal time.Time
 }
 
 // New returns a Buffer that holds up to limit bytes.
 func New(limit int) *Buffer {
-	return &Buffer{limit: limit}
+	return NewBudget(Limits{Bodies: limit}, clock.Real{})
 }
 
 // Used returns the number of bytes held.
@@ -64,10 +85,16 @@
 // the bodies held exceed the limit of the Buffer, and does not read the rest. The
 // caller passes the body to Release once the body is not needed any more.
 func (bu *Buffer) Read(reader io.Reader, limit int) ([]byte, error) {
+	return bu.ReadFor(nil, reader, limit)
+}
+
+// ReadFor is Read for a body that is charged to an account, which may be nil. If there is
+// no memory for the body, accounts that have made no progress give way.
+func (bu *Buffer) ReadFor(ac *Account, reader io.Reader, limit int) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown, err := bu.grow(body)
+			grown, err := bu.growFor(ac, body)
 			if err != nil {
 				bu.Release(body)
 				return nil, err
@@ -90,13 +117,14 @@
 	}
 }
 
-// ReadStart reads a body of up to limit bytes. If the body is larger, or the bodies held
+// ReadStart reads a body of up to limit bytes that is charged to an account, which may be
+// nil. If the body is larger, or the bodies held
 // leave no memory for it, it returns what it has read and a reader of the rest. Otherwise
 // rest is nil. The caller passes start to Release.
-func (bu *Buffer) ReadStart(reader io.Reader, limit int) (start []byte, rest io.Reader, err error) {
+func (bu *Buffer) ReadStart(ac *Account, reader io.Reader, limit int) (start []byte, rest io.Reader, err error) {
 	for len(start) < limit {
 		if len(start) == cap(start) {
-			grown, err := bu.grow(start)
+			grown, err := bu.growFor(ac, start)
 			if err != nil {
 				return start, reader, nil //nolint:nilerr // The rest shows that not all was read.
 			}
@@ -162,6 +190,28 @@
 	bu.used -= cap(body)
 }
 
+// growFor is grow for a body of an account.
+func (bu *Buffer) growFor(ac *Account, body []byte) ([]byte, error) {
+	grown, err := bu.grow(body)
+	if err != nil && bu.freeBodies(ac, max(minCapacity, cap(body))) {
+		for waited := time.Duration(0); err != nil && waited < freeWait; waited += passInterval {
+			time.Sleep(passInterval)
+			grown, err = bu.grow(body)
+		}
+	}
+	if err != nil || ac == nil {
+		return grown, err
+	}
+	if !ac.Reserve(cap(grown) - cap(body)) {
+		bu.Release(grown)
+		bu.mu.Lock()
+		bu.used += cap(body) // The caller releases the body as it was.
+		bu.mu.Unlock()
+		return nil, fmt.Errorf("%w: no memory for the connection", ErrFull)
+	}
+	return grown, nil
+}
+
 // grow returns a copy of a body with a larger capacity.
 func (bu *Buffer) grow(body []byte) ([]byte, error) {
 	capacity := max(minCapacity, 2*cap(body))
--- a/core/bodybuffer/start_test.go
+++ b/core/bodybuffer/start_test.go
@@ -21,7 +21,7 @@
 	for _, size := range []int{0, 1, limit - 1, limit, limit + 1, limit + 2, 300_000} {
 		want := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
 		for _, reader := range []io.Reader{bytes.NewReader(want), iotest.OneByteReader(bytes.NewReader(want)), iotest.DataErrReader(bytes.NewReader(want))} {
-			start, rest, err := buf.ReadStart(reader, limit)
+			start, rest, err := buf.ReadStart(nil, reader, limit)
 			is.NoErr(err)
 			is.Equal(rest != nil, size > limit)
 			got := bytes.Clone(start)
@@ -43,7 +43,7 @@
 	buf := bodybuffer.New(4 << 20)
 	broken := errors.New("broken")
 	for _, size := range []int{0, 99, 100} {
-		_, _, err := buf.ReadStart(io.MultiReader(bytes.NewReader(make([]byte, size)), iotest.ErrReader(broken)), 100)
+		_, _, err := buf.ReadStart(nil, io.MultiReader(bytes.NewReader(make([]byte, size)), iotest.ErrReader(broken)), 100)
 		is.True(errors.Is(err, broken))
 	}
 	is.Equal(buf.Used(), 0)
@@ -57,7 +57,7 @@
 	held := make([]byte, 1<<20)
 	buf.Hold(held)
 	is.Equal(buf.Used(), 1<<20)
-	start, rest, err := buf.ReadStart(bytes.NewReader([]byte("body")), 100)
+	start, rest, err := buf.ReadStart(nil, bytes.NewReader([]byte("body")), 100)
 	is.NoErr(err)
 	is.Equal(len(start), 0)
 	got, err := io.ReadAll(rest)
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -74,6 +74,7 @@
 	LinkLost           = define(601, "linkLost", logrus.InfoLevel, "A link to another process was lost.")
 	CredentialsRefused = define(602, "credentialsRefused", logrus.WarnLevel, "A call without valid credentials was rejected.")
 	StreamAborted      = define(642, "streamAborted", logrus.InfoLevel, "A body that was passed on as a stream ended before its last byte; the field reason says why.")
+	ConnectionsClosed  = define(662, "connectionsClosed", logrus.WarnLevel, "Connections of peers were closed or refused, because memory or connections ran short or because they made no progress; the fields count them by reason. Written at most once a second.")
 )
 
 var registry []Event
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -70,6 +70,7 @@
 	TLSAuthority   string
 	// StopTimeout limits the duration of a graceful shutdown.
 	StopTimeout time.Duration
+	Limits      Limits
 }
 
 // ExitError is an error with the exit code that the program returns for it.
@@ -86,6 +87,7 @@
 	// served is closed when the server accepts no more connections.
 	served   chan struct{}
 	conns    *connTracker
+	guard    *Guard
 	draining atomic.Bool
 }
 
@@ -125,7 +127,7 @@
 	co.LogFormat = "json"
 	co.LogLevel = "info"
 	co.StopTimeout = 20 * time.Second
-	return []configfile.Key{
+	return append(co.Limits.Keys(), []configfile.Key{
 		configfile.String("process", "id", &co.ID, "a name, unique in the fleet", configfile.Required),
 		configfile.String("process", "zone", &co.Zone, "the name of the availability zone", configfile.Required),
 		configfile.Duration("process", "stopBound", &co.StopTimeout, time.Second, 10*time.Minute),
@@ -139,7 +141,7 @@
 		configfile.File("tls", "certificate", &co.TLSCertificate, "the path of a PEM file"),
 		configfile.File("tls", "key", &co.TLSKey, "the path of a PEM file"),
 		configfile.File("tls", "authority", &co.TLSAuthority, "the path of a PEM file"),
-	}
+	}...)
 }
 
 // Logger returns a logger with the configured format and level.
@@ -182,6 +184,24 @@
 	return se
 }
 
+// Guard makes the server keep within the limits of the process. Call it before Start. The
+// handler may charge bodies to the connection itself if it uses bodybuffer.AccountOf;
+// otherwise they are charged as they are read.
+func (se *Server) Guard(gu *Guard, handlerCharges bool) *Server {
+	se.guard = gu
+	track := se.http.ConnState
+	se.http.ConnState = func(con net.Conn, state http.ConnState) {
+		track(con, state)
+		setGuardState(con, state)
+	}
+	se.http.ConnContext = withAccount
+	se.http.Handler = limitAhead(se.http.Handler)
+	if !handlerCharges {
+		se.http.Handler = chargeBodies(se.http.Handler)
+	}
+	return se
+}
+
 // closeWhileDraining makes the responses end their connections once Drain was called.
 func (se *Server) closeWhileDraining(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
@@ -231,7 +251,9 @@
 	}
 	se.listener, _ = lis.(*net.TCPListener)
 	if se.http.TLSConfig != nil {
-		lis = tls.NewListener(lis, se.http.TLSConfig)
+		lis = tls.NewListener(se.guard.listener(lis, true), se.http.TLSConfig)
+	} else {
+		lis = se.guard.listener(lis, false)
 	}
 	se.served = make(chan struct{})
 	go func() {
