--- a/cactusd/daemon/start_test.go
+++ b/cactusd/daemon/start_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,10 +22,12 @@
 	"cactusstream.example/core/process"
 )
 
-// freeAddress returns a loopback address with a port that was free.
+// freeAddress returns a loopback address with a port that was free. Each has an IP address
+// of its own: the port of 127.0.0.1 may be taken by an outgoing connection of any process
+// before a daemon listens on it.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	lis, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(250), rand.N(250), 1+rand.N(250)))
 	if err != nil {
 		t.Fatal(err)
 	}
