--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -213,8 +214,12 @@
 	}
 	re.opts.Tokens.SetAuthorization(req.Header)
 	resp, err := re.client.Do(req) //nolint:bodyclose // release closes the body.
+	var inURL *url.Error
+	if errors.As(err, &inURL) {
+		err = inURL.Err // The URL has the token, which must not get into logs.
+	}
 	if err != nil {
-		return nil, nil, fmt.Errorf("open stream: %w", errors.Join(context.Cause(ctx), err))
+		return nil, nil, fmt.Errorf("open stream at %s: %w", address, errors.Join(context.Cause(ctx), err))
 	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
