--- a/cactusd/daemon/stream_end_test.go
+++ b/cactusd/daemon/stream_end_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// TestStalledCallers lets one caller stop to read its answer and another stop to send its
+// body. Both must end, and free their slots, long before the test gives up: with the stall
+// time-out of 10 s.
+func TestStalledCallers(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan string, 2)
+	pa := newPairOf(t, largestBody, func(wr http.ResponseWriter, req *http.Request) {
+		if isProbe(wr, req) {
+			return
+		}
+		if req.URL.RawQuery == "body" {
+			_, _ = io.Copy(io.Discard, req.Body)
+		} else {
+			_, _ = io.Copy(wr, benchmarkBody{})
+		}
+		closed <- req.URL.RawQuery
+	})
+	defer pa.stop(t)
+	for query, body := range map[string]string{"answer": "1\r\n\r\nx", "body": fmt.Sprint(largestBody, "\r\n\r\n", strings.Repeat("x", 1_000_000))} {
+		con, err := net.Dial("tcp", pa.callers)
+		is.NoErr(err)
+		defer func() { _ = con.Close() }()
+		_, err = fmt.Fprintf(con, "POST /order?%s HTTP/1.1\r\nHost: x\r\nX-Left: 20000\r\nContent-Length: %s", query, body)
+		is.NoErr(err)
+	}
+	for range 2 {
+		select {
+		case <-closed:
+		case <-time.After(streamTimeout):
+			t.Fatal("a connection to the upstream is still open")
+		}
+	}
+}
+
 // slowReader reads a body in steps, so that it takes a time.
 type slowReader struct {
 	io.Reader
