--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/metrics"
 )
 
 func writeCompleteBody(wr http.ResponseWriter, _ *http.Request) {
@@ -71,11 +74,25 @@
 // ones must be refused. Closing a listening socket resets the connections in its
 // accept queue.
 func TestShutdownAnswersEstablishedConnections(t *testing.T) {
+	checkShutdowns(t, 0, func(srv *Server) {})
+}
+
+// TestGuardedShutdownAnswersEstablishedConnections is the same with limits, as in every
+// program.
+func TestGuardedShutdownAnswersEstablishedConnections(t *testing.T) {
+	checkShutdowns(t, 20, func(srv *Server) {
+		srv.Guard(NewGuard(Limits{Connections: 100, Stall: time.Second}, events.Discard(), metrics.NewRegistry()), true)
+	})
+}
+
+func checkShutdowns(t *testing.T, firstHost int, prepare func(*Server)) {
+	t.Helper()
 	for round := range 20 {
 		// The port is outside the ephemeral range. Otherwise a client could get
 		// it as its own source port and connect to itself after the server closes.
-		address := fmt.Sprintf("127.77.0.%d:18080", round+1)
+		address := fmt.Sprintf("127.77.0.%d:18080", firstHost+round+1)
 		srv := NewServer(address, http.HandlerFunc(writeCompleteBody), nil)
+		prepare(srv)
 		if err := srv.Start(); err != nil {
 			t.Fatal(err)
 		}
