--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -74,7 +74,7 @@
 // ones must be refused. Closing a listening socket resets the connections in its
 // accept queue.
 func TestShutdownAnswersEstablishedConnections(t *testing.T) {
-	checkShutdowns(t, 0, func(srv *Server) {})
+	checkShutdowns(t, 0, func(*Server) {})
 }
 
 // TestGuardedShutdownAnswersEstablishedConnections is the same with limits, as in every
