fix(quota): buckets fill from the start of the process

After a loss of power of all daemons, no request of an organisation was admitted for seconds after they listened again: buckets were empty until 1.5 s after joining, and a holder that did not hold yet was not asked again for 1 s.

Buckets now fill from the start of the process and begin with a part of what the bound leaves beyond the quota. A daemon holds quotas 500 ms after its member set has stopped growing, at most 1.5 s after joining. Holding at once was ruled out: right after a start, daemons know few others and would take too large shares.

--- a/cactusd/internal/quota/quota.go
+++ b/cactusd/internal/quota/quota.go
@@ -84,6 +84,7 @@
 		opts: opts, node: quota.NewNode(opts.Self, opts.Zone, opts.RandomSeed),
 		waiting: make(map[uint64]chan quota.Decision), tallies: make(map[string]*tally),
 	}
+	qu.node.Start(opts.Clock.Now())
 	link.Handle(opts.Mux, MethodTake, func(_ context.Context, _ string, ask quota.Ask) (quota.Answer, error) {
 		return qu.serve(ask), nil
 	})
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -15,6 +15,9 @@
 	bucketRetention = 5 * time.Minute
 	// retryElsewhere is the delay that a daemon names that is not a holder.
 	retryElsewhere = time.Second
+	// retryStarted is the delay that a daemon names that has started and holds nothing
+	// yet. After a start of the whole fleet, a longer one would leave quota unused.
+	retryStarted = 100 * time.Millisecond
 )
 
 // Ask asks a holder for tokens of an organisation.
@@ -59,11 +62,16 @@
 type holder struct {
 	roster  *roster
 	buckets map[string]*bucket
-	// holdsFrom is when the daemon began to hold quotas: zero until it has joined the
-	// fleet.
+	// startedAt is when the process started, or zero if that isn't known.
+	startedAt time.Time
+	// joinedAt is when the daemon joined the fleet, and holdsFrom when it began to hold
+	// quotas. They are zero until it has joined.
+	joinedAt  time.Time
 	holdsFrom time.Time
-	left      bool
-	sweptAt   time.Time
+	// settledSize is the size of the member set from which settleDelay runs.
+	settledSize int
+	left        bool
+	sweptAt     time.Time
 }
 
 func newHolder(ro *roster) *holder {
@@ -75,7 +83,7 @@
 func (ho *holder) serve(now time.Time, ask Ask) (Answer, bool) {
 	bu := ho.bucket(now, ask)
 	if bu == nil {
-		return Answer{RetryAfter: retryElsewhere}, false
+		return Answer{RetryAfter: ho.retryLater(now)}, false
 	}
 	bu.fill(now)
 	bu.giveBack(ask.Returned)
@@ -95,6 +103,44 @@
 	return !ho.left && !ho.holdsFrom.IsZero() && !now.Before(ho.holdsFrom)
 }
 
+// retryLater returns when a daemon that holds no quota of an organisation should be
+// asked again.
+func (ho *holder) retryLater(now time.Time) time.Duration {
+	if ho.left || ho.holds(now) {
+		return retryElsewhere
+	}
+	return retryStarted
+}
+
+// settle delays the time from which a started daemon holds quotas if its member set has
+// grown.
+func (ho *holder) settle(now time.Time) {
+	size := len(ho.roster.peers)
+	if ho.joinedAt.IsZero() || ho.holds(now) || float64(size) <= float64(ho.settledSize)*(1+settleGrowth) {
+		return
+	}
+	ho.settledSize = size
+	ho.holdsFrom = now.Add(settleDelay)
+	if latest := ho.joinedAt.Add(joinDelay); ho.holdsFrom.After(latest) {
+		ho.holdsFrom = latest
+	}
+}
+
+// heldSince returns when this daemon began to hold the quota of an organisation, and
+// whether that is when its process started.
+func (ho *holder) heldSince(key uint64, wanted int) (time.Time, bool) {
+	since := ho.roster.heldSince(key, wanted)
+	switch {
+	case ho.startedAt.IsZero():
+		if since.Before(ho.holdsFrom) {
+			since = ho.holdsFrom
+		}
+	case since.Before(ho.startedAt):
+		return ho.startedAt, true
+	}
+	return since, false
+}
+
 // bucket returns the bucket of an organisation with its present limit and share, or
 // nil if this daemon is not a holder. The limit of the newest settings wins,
 // whichever daemon knows them.
@@ -119,12 +165,12 @@
 		delete(ho.buckets, ask.Organisation)
 		return nil
 	}
-	since := ho.roster.heldSince(key, sh.wanted)
-	if since.Before(ho.holdsFrom) {
-		since = ho.holdsFrom
-	}
+	since, started := ho.heldSince(key, sh.wanted)
 	if bu == nil {
 		bu = &bucket{limit: limit, version: ask.Version, share: sh, at: since}
+		if started {
+			bu.level = sh.start
+		}
 		ho.buckets[ask.Organisation] = bu
 	}
 	bu.change(now, since, limit, sh)
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -5,9 +5,17 @@
 	"time"
 )
 
-// joinDelay is how long after it has joined the fleet a daemon begins to hold quotas:
-// its member set is complete by then.
-const joinDelay = 1500 * time.Millisecond
+const (
+	// joinDelay is how long after it has joined the fleet a daemon begins to hold quotas
+	// at the latest: its member set is complete by then.
+	joinDelay = 1500 * time.Millisecond
+	// settleDelay is how long the member set of a started daemon must not have grown by
+	// more than settleGrowth before it holds quotas. After a start of the whole fleet,
+	// all daemons know few others, and would take a too large share. It exceeds the
+	// interval at which the member table is followed.
+	settleDelay  = 500 * time.Millisecond
+	settleGrowth = 0.1
+)
 
 // Node makes the decisions of one daemon about quotas. It is not safe for concurrent
 // use.
@@ -28,6 +36,7 @@
 // holds nothing any more.
 func (no *Node) SetMembers(now time.Time, members []Member) {
 	no.roster.update(now, members)
+	no.holder.settle(now)
 	for _, mem := range members {
 		no.holder.left = no.holder.left || mem.Left && mem.ID == no.roster.self
 	}
@@ -40,7 +49,10 @@
 func (no *Node) Past(now time.Time) []Past { return no.roster.past(now) }
 
 // Merge adds what another daemon knows about the member set.
-func (no *Node) Merge(now time.Time, past []Past) { no.roster.merge(now, past) }
+func (no *Node) Merge(now time.Time, past []Past) {
+	no.roster.merge(now, past)
+	no.holder.settle(now)
+}
 
 // Silent returns the daemons that may have stopped. Call MarkStopped for those at
 // whose address nothing listens.
@@ -57,10 +69,18 @@
 	}
 }
 
-// Join notes that the daemon knows the fleet. Its buckets fill from joinDelay later.
+// Start notes when the process started. Its buckets fill from then, as the process
+// before it had ended. Without it, they fill from when the daemon holds quotas.
+func (no *Node) Start(now time.Time) { no.holder.startedAt = now }
+
+// Join notes that the daemon knows the fleet. It holds quotas settleDelay later, or up
+// to joinDelay later while its member set grows or has no other daemon.
 func (no *Node) Join(now time.Time) {
-	if no.holder.holdsFrom.IsZero() {
+	if no.holder.joinedAt.IsZero() {
+		no.holder.joinedAt = now
 		no.holder.holdsFrom = now.Add(joinDelay)
+		no.holder.settledSize = 1
+		no.holder.settle(now)
 	}
 }
 
--- a/core/quota/node_test.go
+++ b/core/quota/node_test.go
@@ -118,6 +118,31 @@
 	is.Equal(node.Serve(startTime.Add(joinDelay+100*time.Millisecond), askFor(limit, 100)).Granted, 10)
 }
 
+// TestStartedDaemonFillsFromItsStart guards against quota that is lost while a daemon joins,
+// and against a daemon that takes a share of a member set that still grows.
+func TestStartedDaemonFillsFromItsStart(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{100, 400}
+	sh := shareOf(limit, 6)
+	started := func(joins time.Duration) *Node {
+		node := NewNode("d0", "z0", 1)
+		node.Start(startTime)
+		node.SetMembers(startTime.Add(joins), testMembers(3))
+		node.Join(startTime.Add(joins))
+		return node
+	}
+	node, now := started(time.Second), startTime.Add(time.Second+300*time.Millisecond)
+	node.SetMembers(now, testMembers(6))
+	now = now.Add(settleDelay)
+	is.Equal(node.Serve(now.Add(-time.Millisecond), askFor(limit, 100)).Granted, 0)
+	is.Equal(node.Serve(now, askFor(limit, 100)).Granted, int(sh.start+sh.rate*now.Sub(startTime).Seconds()))
+	node, now = started(time.Second), startTime.Add(time.Second)
+	for i := range 20 { // It grows without end.
+		node.SetMembers(now.Add(time.Duration(i)*100*time.Millisecond), testMembers(4+2*i))
+	}
+	is.True(node.Serve(now.Add(joinDelay), askFor(limit, 100)).Granted > 0)
+}
+
 // TestLeavingDaemonHoldsNothing guards against a daemon that grants what the others have
 // taken over since it left.
 func TestLeavingDaemonHoldsNothing(t *testing.T) {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -13,6 +13,7 @@
 // Usage, with the caller's lock held:
 //
 //	node := quota.NewNode("d1", "zone1", seed)
+//	node.Start(now)                           // when the process starts
 //	node.SetMembers(now, members)             // whenever the member table changes
 //	node.Join(now)                            // once the fleet is known
 //	result := node.Take(now, quota.Ask{...})  // calls to send, requests that are decided
@@ -52,6 +53,11 @@
 	// admit one request in each window while they reach no holder.
 	isolatedAllowance = 5
 	isolatedFraction  = 0.03
+	// The buckets of started daemons begin with startAllowance requests and startFraction
+	// of a window's requests in all. It is a quarter of what the bound allows beyond the
+	// quota: half of what the depths leave, so that all daemons may start twice in a window.
+	startAllowance = 4
+	startFraction  = 0.025
 	// returnAllowance and returnFraction bound the returned requests that all holders
 	// together accept: the burst in requests, and the part of the rate.
 	returnAllowance = 2
@@ -67,6 +73,8 @@
 	// rate is in tokens per second, and depth in tokens.
 	rate  float64
 	depth float64
+	// start is the level of the bucket of a daemon when it starts.
+	start float64
 	// returnRate and returnDepth limit the returned tokens that are accepted.
 	returnRate  float64
 	returnDepth float64
@@ -91,6 +99,7 @@
 	count := float64(holders)
 	return share{
 		wanted: wanted, holders: holders, rate: li.PerSecond / count, depth: depth / count,
+		start:      (startAllowance + startFraction*li.perWindow()) / count,
 		returnRate: returnFraction * li.PerSecond / count, returnDepth: returnAllowance / count,
 	}
 }
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -15,7 +15,13 @@
 	detectTime   = 4 * time.Second
 	viewInterval = 250 * time.Millisecond
 	joinTime     = 100 * time.Millisecond
-	returnDelay  = 3 * time.Second
+	// The daemons of a fleet that starts join between minJoinTime and maxJoinTime, and have
+	// settings between minSettingsTime and maxSettingsTime after they start.
+	minJoinTime     = 300 * time.Millisecond
+	maxJoinTime     = time.Second
+	minSettingsTime = 500 * time.Millisecond
+	maxSettingsTime = time.Second
+	returnDelay     = 3 * time.Second
 
 	organisationName = "org"
 )
@@ -46,7 +52,8 @@
 type fakeDaemon struct {
 	id, zone string
 	node     *Node
-	start    int // Counts starts, so that messages to an earlier process are lost.
+	joinedAt time.Time // From when the others may know the daemon.
+	start    int       // Counts starts, so that messages to an earlier process are lost.
 	up       bool
 	left     bool
 	old      bool // Runs a program that doesn't know the method.
@@ -120,13 +127,35 @@
 
 // boot starts a daemon, which joins the fleet shortly afterwards.
 func (fl *fakeFleet) boot(da *fakeDaemon) {
+	fl.start(da, joinTime)
+}
+
+// start starts a daemon, which joins the fleet after a period.
+func (fl *fakeFleet) start(da *fakeDaemon, period time.Duration) {
 	da.start++
 	da.up, da.left, da.view = true, false, nil
 	da.asked = make(map[uint64]time.Time)
 	da.seen = make([]time.Time, len(fl.daemons))
 	da.node = NewNode(da.id, da.zone, fl.rng.Uint64())
+	da.node.Start(fl.clock(da))
 	start := da.start
-	fl.after(joinTime, func() { fl.join(da, start) })
+	fl.after(period, func() { fl.join(da, start) })
+}
+
+// between returns a random time.
+func (fl *fakeFleet) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(fl.rng.Int64N(int64(most-least)))
+}
+
+// powerUp starts all daemons at once. They know each other only when they have joined,
+// and have no limit until they have settings.
+func (fl *fakeFleet) powerUp(limit Limit) {
+	for _, da := range fl.daemons {
+		period := fl.between(minJoinTime, maxJoinTime)
+		da.limit, da.joinedAt = Limit{}, fl.now.Add(period)
+		fl.start(da, period)
+		fl.after(fl.between(minSettingsTime, maxSettingsTime), func() { da.limit = limit })
+	}
 }
 
 func (fl *fakeFleet) join(da *fakeDaemon, start int) {
@@ -135,7 +164,7 @@
 	}
 	alone := true
 	for _, other := range fl.daemons {
-		if other != da && fl.reach(da, other) {
+		if other != da && fl.reach(da, other) && !fl.now.Before(other.joinedAt) {
 			da.node.Merge(fl.clock(da), other.node.Past(fl.clock(other)))
 			alone = false
 			break
@@ -161,7 +190,7 @@
 	}
 	var view []Member
 	for i, other := range fl.daemons {
-		if other == da || fl.reach(da, other) {
+		if other == da || fl.reach(da, other) && !fl.now.Before(other.joinedAt) {
 			da.seen[i] = fl.now
 		}
 		if !da.seen[i].IsZero() {
@@ -257,7 +286,7 @@
 
 // request lets a request arrive at a daemon.
 func (fl *fakeFleet) request(da *fakeDaemon) {
-	if !da.up || da.frozen {
+	if !da.up || da.frozen || da.limit == (Limit{}) {
 		return
 	}
 	fl.arrivals = append(fl.arrivals, fl.now)
