--- a/cactusd/internal/quota/quota.go
+++ b/cactusd/internal/quota/quota.go
@@ -84,6 +84,7 @@
 		opts: opts, node: quota.NewNode(opts.Self, opts.Zone, opts.RandomSeed),
 		waiting: make(map[uint64]chan quota.Decision), tallies: make(map[string]*tally),
 	}
+	qu.node.Start(opts.Clock.Now())
 	link.Handle(opts.Mux, MethodTake, func(_ context.Context, _ string, ask quota.Ask) (quota.Answer, error) {
 		return qu.serve(ask), nil
 	})
@@ -94,7 +95,7 @@
 }
 
 // Take asks for one request of an organisation. It waits for other daemons for at most
-// 300 ms.
+// 250 ms.
 func (qu *Quota) Take(ctx context.Context, org *settings.Organisation) quota.Verdict {
 	if !(org.Rate > 0) {
 		return quota.Verdict{Outcome: quota.Admitted}
