fix(member): a synchronization returns records sorted by ID

Cause: newerThan collected records in the iteration order of a map. A table inserts new members into its probe order with random swaps, so the order of the records decided which peers its random choices selected, and a simulation with a fixed seed gave another course on each run. TestDeparturesSurviveTheirDaemon failed in about half of the runs with -count 10.

Ruled out: pendingUpdates sorts its entries, and the loop over relays only deletes.

Change: newerThan sorts. The checks of TestDeparturesSurviveTheirDaemon visit the daemons in order.

--- a/core/member/departure_test.go
+++ b/core/member/departure_test.go
@@ -36,10 +36,8 @@
 					sim.nodes["d000"] = node // So that start doesn't add it to the order again.
 					sim.start("d000", 1)
 					sim.run(2 * time.Second) // It has to know a peer before it can tell one.
-					for id, node := range sim.nodes {
-						if id != "d000" {
-							is.Equal(node.table.DepartedFrom("d000"), want)
-						}
+					for _, id := range sim.order[1:] {
+						is.Equal(sim.nodes[id].table.DepartedFrom("d000"), want) // At id.
 					}
 				}
 			})
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -114,7 +116,9 @@
 }
 
 // newerThan returns the records in some buckets that are missing or older in another
-// table, which is given by its summaries.
+// table, which is given by its summaries. They are sorted by ID: the order in which a
+// table learns of members decides which of them its random choices select, and a
+// simulation with a fixed seed must repeat these.
 func (ta *Table) newerThan(summaries map[string]Summary, buckets []int) []Record {
 	var records []Record
 	ta.inBuckets(buckets, func(id string, ent *entry) {
@@ -127,6 +131,7 @@
 			records = append(records, ent.record)
 		}
 	})
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
 	return records
 }
 
