fix(member): a departure survives a restart whose record overtakes it

What callers could see: an upstream leaves, its daemon stops within some 300 ms and starts again. A member that had not yet received the last record of the earlier start accepted that of the next start and then rejected the older one for good. If the daemon asked this member first, it registered a late announcement of the upstream that had left, until a later synchronization (5 to 15 s).

Ruled out: a departure lost on its way to all.

Change: the copy of a record that a member passes on holds the departures of earlier starts too; a record that is not newer still adds its departures; the daemon takes them over when its own record returns. Lists are merged in the order of departures, so an outdated full list displaces no newer departure. No wire field is new.

--- a/core/member/departure.go
+++ b/core/member/departure.go
@@ -18,7 +18,7 @@
 // newer last.
 func MergeDepartures(older, newer []Departure) []Departure {
 	all := slices.Concat(older, newer)
-	merged := make([]Departure, 0, len(all))
+	var merged []Departure
 	for i, dep := range all {
 		if !slices.Contains(all[i+1:], dep) {
 			merged = append(merged, dep)
@@ -27,6 +27,38 @@
 	return slices.Clip(merged[max(0, len(merged)-MaxDepartures):])
 }
 
+// insertMissing returns known with the departures that only other lists. Each is inserted
+// behind its predecessor in other, or at the front if it has none, so that the result
+// keeps the order of departures and a full list drops the oldest, whichever of the two
+// lists is outdated.
+func insertMissing(known, other []Departure) []Departure {
+	merged := slices.Clone(known)
+	pos := 0
+	for _, dep := range other {
+		if index := slices.Index(merged, dep); index >= 0 {
+			pos = index + 1
+			continue
+		}
+		merged = slices.Insert(merged, pos, dep)
+		pos++
+	}
+	return slices.Clip(merged[max(0, len(merged)-MaxDepartures):])
+}
+
+// mergeDepartures adds departures from a record that does not replace an entry's, and
+// reports whether there are new ones. A daemon that stops shortly after a departure may
+// have told only some of the others. Those that learn of its next start first would
+// otherwise never accept the record that holds the departure.
+func (ta *Table) mergeDepartures(ent *entry, departed []Departure) bool {
+	merged := insertMissing(ent.record.Departed, departed)
+	if slices.Equal(merged, ent.record.Departed) {
+		return false
+	}
+	ent.record.Departed = merged
+	ta.scheduleGossip(ent)
+	return true
+}
+
 // Inherited returns the departures that other daemons know from earlier starts of this
 // one.
 func (ta *Table) Inherited() []Departure { return ta.inherited }
@@ -35,7 +67,7 @@
 // its starts.
 func (ta *Table) DepartedFrom(id string) []Departure {
 	if ent := ta.members[id]; ent != nil {
-		return ent.departed
+		return ent.record.Departed
 	}
 	return nil
 }
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -79,8 +79,9 @@
 	Sequence uint64 `codec:"s"`
 }
 
-// Record describes one daemon. The daemon sets all fields; the other daemons change
-// only Status in their copies, when they detect a failure.
+// Record describes one daemon. The daemon sets all fields. The other daemons change
+// only two in their copies: Status, when they detect a failure, and Departed, to which
+// they add the departures from earlier starts.
 type Record struct {
 	ID              string     `codec:"i"`
 	Zone            string     `codec:"z"`
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -118,8 +118,6 @@
 	// finalPingSent is set once a suspect was pinged a last time before it is
 	// declared dead.
 	finalPingSent bool
-	// departed holds the departures from all starts of the daemon.
-	departed []Departure
 }
 
 // probe is the probe in progress.
@@ -268,7 +266,7 @@
 		return false // A daemon that was removed must not return through an outdated table.
 	}
 	if !known {
-		ta.members[rec.ID] = &entry{record: rec, departed: rec.Departed}
+		ta.members[rec.ID] = &entry{record: rec}
 		ta.order = append(ta.order, rec.ID)
 		pos := ta.rng.IntN(len(ta.order))
 		ta.order[pos], ta.order[len(ta.order)-1] = ta.order[len(ta.order)-1], ta.order[pos]
@@ -277,11 +275,11 @@
 		return true
 	}
 	if !ent.record.IsReplacedBy(rec) {
-		return false
+		return ta.mergeDepartures(ent, rec.Departed)
 	}
 	oldStatus := ent.record.Status
+	rec.Departed = insertMissing(rec.Departed, ent.record.Departed)
 	ent.record = rec
-	ent.departed = MergeDepartures(ent.departed, rec.Departed)
 	ent.finalPingSent = false
 	if oldStatus != rec.Status {
 		ta.changes = append(ta.changes, Change{ID: rec.ID, From: oldStatus, To: rec.Status, Record: rec})
@@ -291,8 +289,10 @@
 }
 
 // refute raises the version of this daemon's record above a newer one that other
-// daemons hold, such as a suspicion, so that its own record replaces theirs.
+// daemons hold, such as a suspicion, so that its own record replaces theirs. Its own
+// record may also return with departures from earlier starts.
 func (ta *Table) refute(now time.Time, rec Record) bool {
+	ta.inherited = insertMissing(ta.inherited, rec.Departed)
 	ent := ta.members[ta.self]
 	if !ent.record.IsReplacedBy(rec) {
 		return false
@@ -333,6 +333,11 @@
 // markChanged records that an entry changed and schedules its record for gossip.
 func (ta *Table) markChanged(ent *entry, now time.Time) {
 	ent.changedAt = now
+	ta.scheduleGossip(ent)
+}
+
+// scheduleGossip lets the next messages carry an entry's record.
+func (ta *Table) scheduleGossip(ent *entry) {
 	ent.sendsLeft = retransmitFactor * int(math.Ceil(math.Log10(float64(len(ta.members)+1))))
 	ta.revision++
 }
