perf(quota): fetch the member set from the own zone

A daemon that starts fetches the member set from a random daemon: 2,006 bytes encoded for 87 daemons, which cross zones three times of four in a fleet of 4 zones. It now asks a daemon of its own zone if one is alive, and any other one if not.

Ruled out: an answer without the daemons that are alive. The asker's table may lack some of them, since it has synchronized with one other daemon only.

--- a/cactusd/internal/quota/members.go
+++ b/cactusd/internal/quota/members.go
@@ -105,12 +105,7 @@
 	if qu.members.knownAt.IsZero() {
 		qu.members.knownAt = now
 	}
-	var addresses []string
-	for _, rec := range qu.members.view.Members {
-		if !rec.Keeper && rec.Status == member.Alive && rec.ID != qu.opts.Self {
-			addresses = append(addresses, rec.PeerAddress)
-		}
-	}
+	addresses := qu.addressesToAsk()
 	switch {
 	case qu.members.fetching:
 	case len(addresses) > 0:
@@ -122,6 +117,26 @@
 	}
 }
 
+// addressesToAsk returns the addresses of the other daemons that are alive: those of the
+// own zone, since a member set is large and bytes between zones are expensive, or all if
+// there are none. The caller holds mu.
+func (qu *Quota) addressesToAsk() []string {
+	var near, all []string
+	for _, rec := range qu.members.view.Members {
+		if rec.Keeper || rec.Status != member.Alive || rec.ID == qu.opts.Self {
+			continue
+		}
+		all = append(all, rec.PeerAddress)
+		if rec.Zone == qu.opts.Zone {
+			near = append(near, rec.PeerAddress)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
+
 // fetchMembers joins with the member set of another daemon, which may be one of an older
 // program that has none. After an error, the next Tick tries another daemon.
 func (qu *Quota) fetchMembers(address string) {
