--- a/core/member/table.go
+++ b/core/member/table.go
@@ -24,8 +24,8 @@
 	SuspicionTimeout time.Duration
 	// GoneRetention is how long the records of dead and left daemons are kept.
 	GoneRetention time.Duration
-	// Fanout is how many daemons a new record is forwarded to immediately, and
-	// ForwardsPerSecond limits how many records are forwarded that way. Records
+	// Fanout is how many daemons of the own zone a new record is forwarded to
+	// immediately, and ForwardsPerSecond limits how many records are forwarded that way. Records
 	// above the limit are only piggybacked on probes.
 	Fanout            int
 	ForwardsPerSecond float64
@@ -62,6 +62,9 @@
 	// SettingsVersion is the version of the settings that the sender holds.
 	SettingsVersion uint64   `codec:"c"`
 	Records         []Record `codec:"r,omitempty"`
+	// Digest is a checksum of all records of the sender's table, so that a receiver with
+	// an equal table sends it none. Older daemons send none.
+	Digest uint64 `codec:"h,omitempty"`
 }
 
 // Outgoing is a message to send and its destination.
@@ -101,6 +104,9 @@
 	nextProbeAt time.Time
 	lastTick    time.Time
 	relays      map[uint64]relay
+	// digest is the checksum of all records at digestRevision.
+	digest         uint64
+	digestRevision uint64
 	// forwardTokens is the token bucket behind Options.ForwardsPerSecond.
 	forwardTokens float64
 }
@@ -115,6 +121,8 @@
 	sendsLeft int
 	// lastReceivedAt is when the last message from the daemon itself arrived.
 	lastReceivedAt time.Time
+	// sendsDigest is set if that message has a digest.
+	sendsDigest bool
 	// finalPingSent is set once a suspect was pinged a last time before it is
 	// declared dead.
 	finalPingSent bool
@@ -144,6 +152,10 @@
 	retransmitFactor = 4
 	// originFanoutFactor multiplies the fanout for a daemon's own record.
 	originFanoutFactor = 3
+	// crossZoneShare is the share of the daemons that forward a new record to a daemon of
+	// another zone, since bytes between zones are expensive. Each daemon that receives the
+	// record forwards it, so each zone still gets several copies.
+	crossZoneShare = 0.5
 	// maxForwardTokens is the burst size of the forwarding rate limit, in records.
 	maxForwardTokens = 50
 	// recordBaseSize and upstreamSize estimate encoded sizes, in bytes.
@@ -308,8 +320,13 @@
 // sendToRandomPeers returns messages that carry a record to up to count random
 // daemons.
 func (ta *Table) sendToRandomPeers(count int, rec Record) []Outgoing {
+	return ta.sendUpdate(ta.pickPeers(count, rec.ID), rec)
+}
+
+// sendUpdate returns messages that carry a record to some daemons.
+func (ta *Table) sendUpdate(ids []string, rec Record) []Outgoing {
 	var out []Outgoing
-	for _, id := range ta.pickPeers(count, rec.ID) {
+	for _, id := range ids {
 		msg := Message{Kind: Update, From: ta.self, Address: ta.members[ta.self].record.PeerAddress, SettingsVersion: ta.settingsVersion, Records: []Record{rec}}
 		out = append(out, Outgoing{Address: ta.members[id].record.PeerAddress, Message: msg})
 	}
@@ -325,7 +342,7 @@
 			break
 		}
 		ta.forwardTokens--
-		out = append(out, ta.sendToRandomPeers(ta.opts.Fanout, rec)...)
+		out = append(out, ta.sendUpdate(ta.pickForwardPeers(ta.opts.Fanout, rec.ID), rec)...)
 	}
 	return out
 }
@@ -358,6 +375,37 @@
 	return ids
 }
 
+// pickForwardPeers returns the IDs of up to count daemons of this daemon's zone, and with
+// the probability crossZoneShare one of another. If the own zone has fewer than count,
+// others take their place. The first one of another zone is of a random zone, so that a zone of few daemons
+// is reached as soon as a large one.
+func (ta *Table) pickForwardPeers(count int, exclude string) []string {
+	own := ta.members[ta.self].record.Zone
+	var near, far, zones []string
+	for _, id := range ta.pickPeers(len(ta.order), exclude) {
+		zone := ta.members[id].record.Zone
+		if zone == own {
+			near = append(near, id)
+			continue
+		}
+		far = append(far, id)
+		if !slices.Contains(zones, zone) {
+			zones = append(zones, zone)
+		}
+	}
+	if len(zones) > 1 {
+		first := zones[ta.rng.IntN(len(zones))]
+		index := slices.IndexFunc(far, func(id string) bool { return ta.members[id].record.Zone == first })
+		far[0], far[index] = far[index], far[0]
+	}
+	nearCount := min(len(near), count)
+	farCount := min(count-nearCount, len(far))
+	if farCount == 0 && len(far) > 0 && ta.rng.Float64() < crossZoneShare {
+		farCount = 1
+	}
+	return append(near[:nearCount], far[:farCount]...)
+}
+
 // PickPeer returns the address of a random daemon that is neither dead nor left,
 // or "" when there is none.
 func (ta *Table) PickPeer() string {
