--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -47,7 +47,7 @@
 // keys lists all keys, sorted by name.
 var keys = []Key{
 	annotationsKey(),
-	optional(boolKey(KeyAnonymous, "false", "Whether requests need no key of an organisation.", func(po *Policy) *bool { return &po.Anonymous })),
+	optional(boolKey(KeyAnonymous, "Whether requests need no key of an organisation.", func(po *Policy) *bool { return &po.Anonymous })),
 	intKey("bodyLimit", "bytes", 0, 64<<20, "262144", LevelKind, "Largest body of a request or a response.", func(po *Policy) *int { return &po.BodyLimit }),
 	durationKey("boutLength", 100*time.Millisecond, time.Hour, "4s", LevelService, "Mean length of a failure burst, in which an upstream fails most requests.", func(po *Policy) *time.Duration { return &po.BoutLength }),
 	durationKey("calmLength", time.Second, 24*time.Hour, "20s", LevelService, "Mean time between two failure bursts of an upstream.", func(po *Policy) *time.Duration { return &po.CalmLength }),
@@ -64,9 +64,9 @@
 	rootDurationKey("headerTimeout", time.Millisecond, time.Hour, "5s", "Longest time that a caller may take to send the header of a request.", func(po *Policy) *time.Duration { return &po.HeaderTimeout }),
 	healthPathKey(),
 	hostKey(),
-	boolKey("idempotent", "false", "Whether a request may be executed more than once.", func(po *Policy) *bool { return &po.Idempotent }),
+	boolKey("idempotent", "Whether a request may be executed more than once.", func(po *Policy) *bool { return &po.Idempotent }),
 	rootDurationKey("idleTimeout", time.Millisecond, time.Hour, "2m0s", "How long a caller's connection may stay idle.", func(po *Policy) *time.Duration { return &po.IdleTimeout }),
-	boolKey("internal", "false", "Whether only own services, identified by their credential, may send the request.", func(po *Policy) *bool { return &po.Internal }),
+	boolKey("internal", "Whether only own services, identified by their credential, may send the request.", func(po *Policy) *bool { return &po.Internal }),
 	keyDigestsKey(),
 	keysKey(),
 	choiceKey("method", []string{AnyMethod, "GET", "POST", "PUT", "PATCH", "DELETE"}, "GET", LevelKind, "HTTP method of the kind's requests.", func(po *Policy) *string { return &po.Method }),
@@ -153,8 +153,8 @@
 	}}
 }
 
-func boolKey(name, def, text string, field func(*Policy) *bool) Key {
-	return Key{Name: name, Unit: "truth", Range: "true or false", Default: def, Highest: LevelFirm, Lowest: LevelKind, Text: text, parse: func(po *Policy, value string) error {
+func boolKey(name, text string, field func(*Policy) *bool) Key {
+	return Key{Name: name, Unit: "truth", Range: "true or false", Default: strconv.FormatBool(false), Highest: LevelFirm, Lowest: LevelKind, Text: text, parse: func(po *Policy, value string) error {
 		parsed, err := strconv.ParseBool(value)
 		if err != nil || value != strconv.FormatBool(parsed) {
 			return fmt.Errorf("%s = %q: want true or false", name, value)
@@ -165,7 +165,7 @@
 }
 
 func costAwareKey() Key {
-	ke := boolKey("costAware", "false", "Whether gates that give wait estimates expect the duration of a request by its kind, organisation, size and path, and the wait by the remaining work, instead of the median of the kind and the number of requests.", func(po *Policy) *bool { return &po.CostAware })
+	ke := boolKey("costAware", "Whether gates that give wait estimates expect the duration of a request by its kind, organisation, size and path, and the wait by the remaining work, instead of the median of the kind and the number of requests.", func(po *Policy) *bool { return &po.CostAware })
 	ke.Lowest = LevelService
 	return ke
 }
