feat(quota): a steady sender is admitted its burst in each window

An organisation that always sends above its rate was admitted rate * 5 s in each window, although the limit allows the burst in each window, too: the plain bucket of a holder limits intervals of any length.

A holder keeps a level for each 250 ms of the last window; each starts full, and the oldest one applies. In any interval of up to a window it grants no more than before, so the bound holds over restarts and changes of the member set without further rules. A faster fill rate with a counter was ruled out: after a burst, the holder that takes over would exceed the bound. A refused or last caller is told when the level that then applies has a token.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -36,8 +36,8 @@
 // Answer is the answer of a holder.
 type Answer struct {
 	Granted int `codec:"g,omitempty"`
-	// RetryAfter is when the holder expects to have a token, if it granted less than
-	// asked. Left is what its bucket holds.
+	// RetryAfter is when the holder expects to have a token, if it has none left or
+	// granted less than asked. Left is what its bucket holds.
 	RetryAfter time.Duration `codec:"r,omitempty"`
 	Left       float64       `codec:"l,omitempty"`
 	// NotHolder means that the daemon holds no quota of the organisation, so that the
@@ -52,7 +52,7 @@
 	share   share
 	// rosterVersion is the version of the member set that share was computed for.
 	rosterVersion uint64
-	level         float64
+	levels        levels
 	returnable    float64
 	at            time.Time
 	// promised is the latest time that a refused caller was told to come back at.
@@ -90,10 +90,13 @@
 	}
 	bu.fill(now)
 	bu.giveBack(ask.Returned)
-	granted := max(min(ask.Count, int(bu.level)), 0)
-	bu.level -= float64(granted)
+	granted := max(min(ask.Count, int(bu.levels.lowest())), 0)
+	bu.levels.add(-float64(granted), bu.share.depth)
 	bu.granted += uint64(granted)
-	ans := Answer{Granted: granted, Left: bu.level}
+	ans := Answer{Granted: granted, Left: bu.levels.lowest()}
+	if granted > 0 && ans.Left < 1 {
+		ans.RetryAfter = bu.levels.nextToken(now, bu.share.rate)
+	}
 	for range max(ask.Count, 0) - granted {
 		bu.refused++
 		ans.RetryAfter = bu.promise(now)
@@ -172,7 +175,7 @@
 	if bu == nil {
 		bu = &bucket{limit: limit, version: ask.Version, share: sh, at: since}
 		if started {
-			bu.level = sh.start
+			bu.levels.add(sh.start, sh.depth)
 		}
 		ho.buckets[ask.Organisation] = bu
 	}
@@ -186,15 +189,15 @@
 // depth.
 func (bu *bucket) change(now, since time.Time, limit Limit, sh share) {
 	if bu.at.Before(since) {
-		bu.level, bu.returnable, bu.at = 0, 0, since
+		bu.levels, bu.returnable, bu.at = levels{}, 0, since
 	}
 	bu.fill(now)
 	if limit != bu.limit {
-		bu.level *= sh.depth / bu.share.depth
+		bu.levels.scale(sh.depth / bu.share.depth)
 		bu.promised = time.Time{}
 	}
 	bu.limit, bu.share = limit, sh
-	bu.level = math.Min(bu.level, sh.depth)
+	bu.levels.add(0, sh.depth)
 }
 
 // fill adds the tokens of the time since the last call. A clock that goes back adds
@@ -204,8 +207,8 @@
 	if passed <= 0 {
 		return
 	}
+	bu.levels.fill(bu.at, now, bu.share)
 	bu.at = now
-	bu.level = math.Min(bu.level+passed*bu.share.rate, bu.share.depth)
 	bu.returnable = math.Min(bu.returnable+passed*bu.share.returnRate, bu.share.returnDepth)
 }
 
@@ -215,13 +218,13 @@
 func (bu *bucket) giveBack(count int) {
 	accepted := math.Min(math.Max(float64(count), 0), bu.returnable)
 	bu.returnable -= accepted
-	bu.level = math.Min(bu.level+accepted, bu.share.depth)
+	bu.levels.add(accepted, bu.share.depth)
 }
 
 // promise returns when a refused caller should come back.
 func (bu *bucket) promise(now time.Time) time.Duration {
 	interval := seconds(1 / bu.share.rate)
-	next := now.Add(seconds((1 - math.Min(bu.level, 1)) / bu.share.rate))
+	next := now.Add(bu.levels.nextToken(now, bu.share.rate))
 	promised := bu.promised.Add(interval)
 	if promised.Before(next) {
 		promised = next
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -182,7 +182,7 @@
 	if bu := no.holder.buckets[name]; bu != nil {
 		bu.fill(now)
 		use.PerSecond, use.Burst = bu.limit.PerSecond, bu.limit.Burst
-		use.Held, use.HeldPerSecond, use.Depth = bu.level, bu.share.rate, bu.share.depth
+		use.Held, use.HeldPerSecond, use.Depth = bu.levels.lowest(), bu.share.rate, bu.share.depth
 		use.Granted, use.Refused = bu.granted, bu.refused
 	}
 	return use
