--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -54,7 +54,7 @@
 	isolatedAllowance = 5
 	isolatedFraction  = 0.03
 	// The buckets of started daemons begin with startAllowance requests and startFraction
-	// of a window's requests in all. It is a quarter of what the bound allows beyond the
+	// of a window's requests in all. It is about a quarter of what the bound allows beyond the
 	// quota: half of what the depths leave, so that all daemons may start twice in a window.
 	startAllowance = 4
 	startFraction  = 0.025
