--- a/core/quota/node_test.go
+++ b/core/quota/node_test.go
@@ -119,7 +119,8 @@
 }
 
 // TestStartedDaemonFillsFromItsStart guards against quota that is lost while a daemon joins,
-// and against a daemon that takes a share of a member set that still grows.
+// or because it is asked again late, and against a daemon that takes a share of a member set
+// that still grows.
 func TestStartedDaemonFillsFromItsStart(t *testing.T) {
 	is := is.New(t)
 	limit := Limit{100, 400}
@@ -134,7 +135,10 @@
 	node, now := started(time.Second), startTime.Add(time.Second+300*time.Millisecond)
 	node.SetMembers(now, testMembers(6))
 	now = now.Add(settleDelay)
-	is.Equal(node.Serve(now.Add(-time.Millisecond), askFor(limit, 100)).Granted, 0)
+	early := node.Serve(now.Add(-time.Millisecond), askFor(limit, 100))
+	is.Equal(early.Granted, 0)
+	is.True(early.NotHolder)
+	is.True(early.RetryAfter < settleDelay) // It is asked again soon.
 	is.Equal(node.Serve(now, askFor(limit, 100)).Granted, int(sh.start+sh.rate*now.Sub(startTime).Seconds()))
 	node, now = started(time.Second), startTime.Add(time.Second)
 	for i := range 20 { // It grows without end.
