feat(quota): requests wait for a daemon that has just started

A request waits up to a second, and half of its own time, for that in the first three seconds of a daemon. TestRequestWaitsForTheStartOfTheDaemon fails without it (unavailable).

--- a/cactusd/internal/quota/quota.go
+++ b/cactusd/internal/quota/quota.go
@@ -34,6 +34,11 @@
 	// organisation with refused requests, and maxReports limits their number.
 	reportInterval = time.Second
 	maxReports     = 5
+	// startPeriod is how long after the start of the daemon requests wait for it to know
+	// the holders, each for at most maxStartWait. startPollInterval is how often they check.
+	startPeriod       = 3 * time.Second
+	maxStartWait      = time.Second
+	startPollInterval = 10 * time.Millisecond
 	// maxDumped limits the organisations in the debug dump.
 	maxDumped = 500
 )
@@ -60,7 +65,8 @@
 //
 // Lock order: no other lock is acquired while Quota.mu is held.
 type Quota struct {
-	opts Options
+	opts    Options
+	started time.Time
 
 	mu   sync.Mutex
 	node *quota.Node
@@ -81,10 +87,10 @@
 // New returns a Quota and registers its methods.
 func New(opts Options) *Quota {
 	qu := &Quota{
-		opts: opts, node: quota.NewNode(opts.Self, opts.Zone, opts.RandomSeed),
+		opts: opts, started: opts.Clock.Now(), node: quota.NewNode(opts.Self, opts.Zone, opts.RandomSeed),
 		waiting: make(map[uint64]chan quota.Decision), tallies: make(map[string]*tally),
 	}
-	qu.node.Start(opts.Clock.Now())
+	qu.node.Start(qu.started)
 	link.Handle(opts.Mux, MethodTake, func(_ context.Context, _ string, ask quota.Ask) (quota.Answer, error) {
 		return qu.serve(ask), nil
 	})
@@ -100,6 +106,7 @@
 	if !(org.Rate > 0) {
 		return quota.Verdict{Outcome: quota.Admitted}
 	}
+	qu.awaitSettled(ctx)
 	started := qu.opts.Clock.Now()
 	ask := quota.Ask{Organisation: org.Name, PerSecond: org.Rate, Burst: org.Burst, Version: qu.opts.SettingsVersion()}
 	qu.mu.Lock()
@@ -207,6 +214,37 @@
 	}
 }
 
+// awaitSettled waits until a daemon that has just started knows the holders of quotas. After
+// a start of the whole fleet all daemons learn them at about the same time, and a request
+// that is refused before could have been admitted a moment later.
+func (qu *Quota) awaitSettled(ctx context.Context) {
+	now := qu.opts.Clock.Now()
+	if now.Sub(qu.started) > startPeriod || qu.isSettled(now) {
+		return
+	}
+	timeout := maxStartWait
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, deadline.Sub(now)/2) // The rest is for the request itself.
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ticker := time.NewTicker(startPollInterval)
+	defer ticker.Stop()
+	for !qu.isSettled(qu.opts.Clock.Now()) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (qu *Quota) isSettled(now time.Time) bool {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	return qu.node.IsSettled(now)
+}
+
 // Tick follows the member table and writes log lines. Call it several times a second.
 func (qu *Quota) Tick() {
 	now := qu.opts.Clock.Now()
--- a/cactusd/internal/quota/quota_test.go
+++ b/cactusd/internal/quota/quota_test.go
@@ -96,6 +96,37 @@
 	return sum.Load(), time.Duration(longest.Load())
 }
 
+// TestRequestWaitsForTheStartOfTheDaemon guards against requests that are refused while a
+// daemon that has just started doesn't know the holders of quotas: after a loss of power of
+// all VMs, every request of the first second was.
+func TestRequestWaitsForTheStartOfTheDaemon(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1_000_000, 0))
+	view := &fleet.View{Members: map[string]member.Record{"d": {ID: "d", Zone: "z"}}}
+	tokens := auth.NewTokens("a-token-for-the-tests")
+	mux := link.NewMux()
+	pool := link.NewPool("d", tokens, mux)
+	defer pool.Close()
+	qu := quota.New(quota.Options{
+		Clock: clk, Log: events.Discard(), Metrics: metrics.NewRegistry(), Mux: mux, Pool: pool, Self: "d", Zone: "z",
+		View: func() *fleet.View { return view }, HasJoined: func() bool { return true }, SettingsVersion: func() uint64 { return 1 },
+	})
+	org := &settings.Organisation{Name: "acme", Rate: 60, Burst: 10}
+	verdict := make(chan corequota.Verdict, 1)
+	go func() { verdict <- qu.Take(context.Background(), org) }()
+	for range 10 { // Five seconds of the daemon's clock pass in a tenth of a second.
+		qu.Tick()
+		select {
+		case early := <-verdict:
+			is.Equal(early.Outcome, corequota.Admitted)
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		clk.Advance(500 * time.Millisecond)
+	}
+	is.Equal((<-verdict).Outcome, corequota.Admitted)
+}
+
 // TestDaemonsShareAQuota guards against daemons that each admit the whole quota, and
 // against a quota of which only the part of the daemon that callers use is available.
 func TestDaemonsShareAQuota(t *testing.T) {
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// IsSettled reports whether the daemon knows the fleet, and so the holders of quotas.
+func (no *Node) IsSettled(now time.Time) bool { return no.holder.holds(now) }
+
 // Take starts a request for one token and returns its ID. The request is decided in
 // the result, or in that of a later Finish.
 func (no *Node) Take(now time.Time, ask Ask) (uint64, Result) {
