test(stream): the time limit of the tests' waits has a usual name

A newcomer would stumble over the constant patience; it is waitTimeout now, with the same 20 s, and no assertion changed.

--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -25,8 +25,8 @@
 const (
 	fetchTimeout = 200 * time.Millisecond
 	stallTimeout = 300 * time.Millisecond
-	// patience limits each wait for what must happen.
-	patience = 20 * time.Second
+	// waitTimeout limits each wait for an event that must happen.
+	waitTimeout = 20 * time.Second
 )
 
 // fixture is a registry that offers bodies and one that fetches them.
@@ -79,7 +79,7 @@
 	select {
 	case err := <-ended:
 		return err
-	case <-time.After(patience):
+	case <-time.After(waitTimeout):
 		t.Fatal("the stream does not end")
 		return nil
 	}
@@ -258,7 +258,7 @@
 // TestReaderThatLeaves checks that the source ends soon after its reader was closed or its
 // context has ended, also while no bytes flow.
 func TestReaderThatLeaves(t *testing.T) {
-	fi := newFixture(t, func(opts *stream.Options) { opts.FetchTimeout, opts.StallTimeout = patience, patience })
+	fi := newFixture(t, func(opts *stream.Options) { opts.FetchTimeout, opts.StallTimeout = waitTimeout, waitTimeout })
 	for name, open := range fi.openers() {
 		for _, isBlocked := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, isBlocked), func(t *testing.T) {
@@ -289,7 +289,7 @@
 // body, and that following another context lifts it.
 func TestOpenRespectsContext(t *testing.T) {
 	is := is.New(t)
-	fi := newFixture(t, func(opts *stream.Options) { opts.StallTimeout = patience })
+	fi := newFixture(t, func(opts *stream.Options) { opts.StallTimeout = waitTimeout })
 	ctx, cancel := context.WithCancel(context.Background())
 	of, _ := fi.offer(strings.NewReader("body"), 4)
 	rd, err := fi.fetching.Open(ctx, fi.address, of.Token)
@@ -320,7 +320,7 @@
 // begins afterwards.
 func TestCloseEndsStreams(t *testing.T) {
 	is := is.New(t)
-	fi := newFixture(t, func(opts *stream.Options) { opts.FetchTimeout, opts.StallTimeout = patience, patience })
+	fi := newFixture(t, func(opts *stream.Options) { opts.FetchTimeout, opts.StallTimeout = waitTimeout, waitTimeout })
 	of, ended := fi.offer(endless{}, -1)
 	rd, err := fi.fetching.Open(context.Background(), fi.address, of.Token)
 	is.NoErr(err)
@@ -340,7 +340,7 @@
 // TestDrainWaitsForStreams checks that Drain returns only when the last body was written.
 func TestDrainWaitsForStreams(t *testing.T) {
 	is := is.New(t)
-	fi := newFixture(t, func(opts *stream.Options) { opts.StallTimeout = patience })
+	fi := newFixture(t, func(opts *stream.Options) { opts.StallTimeout = waitTimeout })
 	pipe, into := io.Pipe()
 	of, _ := fi.offer(pipe, -1)
 	rd, err := fi.fetching.Open(context.Background(), fi.address, of.Token)
@@ -368,7 +368,7 @@
 
 // BenchmarkTransfer measures the throughput of a body of 64 MiB over one stream.
 func BenchmarkTransfer(b *testing.B) {
-	fi := newFixture(b, func(opts *stream.Options) { opts.FetchTimeout, opts.StallTimeout = patience, patience })
+	fi := newFixture(b, func(opts *stream.Options) { opts.FetchTimeout, opts.StallTimeout = waitTimeout, waitTimeout })
 	const size = 64 << 20
 	b.SetBytes(size)
 	for b.Loop() {
