--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,10 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X cactusstream.example/core/process.Version=$(VERSION)
 TOOLS := $(CURDIR)/.tools
+# The linter caches findings with the absolute path of their file and reads that
+# file to apply nolint directives. With a cache shared between checkouts, lint
+# failed once the checkout that had filled it was deleted.
+export GOLANGCI_LINT_CACHE := $(CURDIR)/.lint-cache
 
 GOFUMPT_VERSION := v0.9.2
 GOLANGCI_VERSION := v2.12.2
