fix(gate): the upstream is told the time that is left after the queue

An upstream got the remaining time of the request as of its arrival at the gate, so a request that had waited 500 ms for a slot told it 500 ms too much, and the upstream could go on after the caller's deadline.

The wait is taken off before the request is sent; the timeout of the exchange at the gate ends with the deadline, too.

TestUpstreamIsToldTheTimeLeftAfterTheQueue failed before.

--- a/cactusd/internal/gate/gate_test.go
+++ b/cactusd/internal/gate/gate_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -305,3 +306,35 @@
 	is.True(ga.Tick())
 	is.Equal(ga.Records()[0].State.String(), "ready")
 }
+
+// TestUpstreamIsToldTheTimeLeftAfterTheQueue checks that the time that a request waited
+// for its slot is taken off the deadline that the upstream gets. It got the time that was
+// left when the request arrived at the gate.
+func TestUpstreamIsToldTheTimeLeftAfterTheQueue(t *testing.T) {
+	is := is.New(t)
+	const wait = 500 * time.Millisecond
+	release, told := make(chan struct{}), make(chan string, 2)
+	end := sync.OnceFunc(func() { close(release) })
+	defer end()
+	address := serveUpstream(t, func(_ http.ResponseWriter, req *http.Request) {
+		told <- req.Header.Get(outcome.HeaderDeadline)
+		<-release
+	})
+	ga := newGate(clock.Real{})
+	announce(t, ga, address, 1)
+	answers := make(chan wire.RunAnswer, 2)
+	go func() { answers <- ga.Run(context.Background(), request("1", false)) }()
+	<-told
+	go func() { answers <- ga.Run(context.Background(), request("2", false)) }()
+	for fmt.Sprint(ga.Dump()[0]["running"], ga.Dump()[0]["waitingByRank"]) != "1 [0 1 0 0]" {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(wait)
+	end()
+	millis, err := strconv.Atoi(<-told)
+	is.NoErr(err)
+	is.True(time.Duration(millis)*time.Millisecond <= 5*time.Second-wait)
+	for range 2 {
+		is.Equal((<-answers).Outcome, outcome.Ran)
+	}
+}
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -28,6 +28,9 @@
 	// maxTrackedKinds is the number of request kinds whose latencies are kept.
 	// When it is reached, all latencies are discarded.
 	maxTrackedKinds = 256
+	// minRemaining is the least remaining time that an upstream is told, if a request got
+	// its slot just before its deadline.
+	minRemaining = time.Millisecond
 )
 
 // guard controls the requests to one upstream. It holds the upstream's slots
@@ -227,6 +230,7 @@
 		return rejection
 	}
 	started := gu.opts.Clock.Now()
+	req.Remaining = max(req.Remaining-started.Sub(arrived), minRemaining)
 	work := gu.beginWork(started, req)
 	monitor := gu.monitorSlow(req)
 	answer, res := gu.client.send(ctx, req)
