fix(ingress): an escaped slash doesn't end a segment of a route's path

Routes were matched on the decoded path, so /a%2Fb took the route /a/. Escaped slashes now stay escaped in the path that routes are matched on; all else is decoded as before, since /%61/ and /a/ are the same path. cactusctl where uses the same function.

TestRoutePath and a case of TestInvalidRequests failed before.

--- a/cactusctl/internal/cmd/where.go
+++ b/cactusctl/internal/cmd/where.go
@@ -13,6 +13,7 @@
 	genplacement "cactusstream.example/core/gen/placement"
 
 	"cactusstream.example/core/process"
+	"cactusstream.example/core/settings"
 )
 
 func newWhereCmd(ap *app) *cobra.Command {
@@ -71,7 +72,7 @@
 	if deadline < 0 {
 		return nil, errors.New("the deadline is negative")
 	}
-	return &genplacement.WherePayload{Method: strings.ToUpper(method), Host: parsed.Host, Path: parsed.Path, DeadlineMs: int(deadline.Milliseconds())}, nil
+	return &genplacement.WherePayload{Method: strings.ToUpper(method), Host: parsed.Host, Path: settings.RoutePath(parsed), DeadlineMs: int(deadline.Milliseconds())}, nil
 }
 
 func (ap *app) printWhere(com *cobra.Command, where *genplacement.WhereResult) error {
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -266,7 +266,7 @@
 	caller := in.identify(current.Organisations, httpReq.Header)
 	firm := in.firmOf(caller, httpReq.Header)
 	place := headerOr(httpReq.Header, outcome.HeaderPlace, in.opts.Place)
-	path, found := current.Resolver.Routes().Find(settings.Request{Firm: firm, Place: place, Host: httpReq.Host, Method: httpReq.Method, Path: httpReq.URL.Path})
+	path, found := current.Resolver.Routes().Find(settings.Request{Firm: firm, Place: place, Host: httpReq.Host, Method: httpReq.Method, Path: settings.RoutePath(httpReq.URL)})
 	if !found && in.opts.SettingsConfirmed != nil && !in.opts.SettingsConfirmed() {
 		return req, req.reject(outcome.NoSettings, "no kind of request matches this method and path, but the settings may be outdated")
 	}
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -127,6 +127,7 @@
 		{Path: "*/*/s/price", Key: "path", Value: "/price"},
 		{Path: "*/*/s/price", Key: "internal", Value: "true"},
 		{Path: "*/*/s/price", Key: "idempotent", Value: "true"},
+		{Path: "*/*/s/stock", Key: "path", Value: "/stock/"},
 		{Path: "*/*/s/cut", Key: "path", Value: "/cut"},
 		{Path: "*/*/s/cut", Key: "method", Value: "POST"},
 		{Path: "*/*/s/cut", Key: "bodyLimit", Value: "100"},
@@ -280,6 +281,7 @@
 	}{
 		{"no route", "GET", "/nowhere", "", "", http.StatusNotFound, outcome.NotRun},
 		{"no route, own key", "POST", "/nowhere", validKey, "", http.StatusNotFound, outcome.Unknown},
+		{"escaped slash isn't the end of a segment", "GET", "/stock%2Fitem", "", "", http.StatusNotFound, outcome.NotRun},
 		{"wrong method", "POST", "/look", "", "", http.StatusNotFound, outcome.NotRun},
 		{"bad key", "POST", "/cut", "order-7", "", http.StatusBadRequest, outcome.NotRun},
 		{"body too large", "POST", "/cut", "", strings.Repeat("x", 101), http.StatusRequestEntityTooLarge, outcome.NotRun},
--- a/core/settings/route.go
+++ b/core/settings/route.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/url"
 	"net"
 	"strings"
 )
@@ -117,3 +118,21 @@
 	}
 	return table
 }
+
+// RoutePath returns the path of a URL as routes match it: decoded but for escaped
+// slashes, which don't separate segments. On the decoded path, /a%2Fb would take the
+// route /a/.
+func RoutePath(target *url.URL) string {
+	if target.RawPath == "" {
+		return target.Path
+	}
+	segments := strings.Split(target.RawPath, "/")
+	for i, segment := range segments {
+		decoded, err := url.PathUnescape(segment)
+		if err != nil {
+			return target.Path // The server accepts no such path.
+		}
+		segments[i] = strings.ReplaceAll(decoded, "/", "%2F")
+	}
+	return strings.Join(segments, "/")
+}
--- a/core/settings/route_test.go
+++ b/core/settings/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"testing"
 
 	"github.com/matryer/is"
@@ -77,3 +78,25 @@
 		}
 	})
 }
+
+// TestRoutePath checks that an escaped slash doesn't end a segment. On the decoded path,
+// /a%2Fb took the route /a/.
+func TestRoutePath(t *testing.T) {
+	for target, want := range map[string]string{
+		"/a/b":         "/a/b",
+		"/a%2Fb":       "/a%2Fb",
+		"/a%2fb/c":     "/a%2Fb/c",
+		"/%61/b":       "/a/b",
+		"/a%20b/c":     "/a b/c",
+		"/a%252Fb":     "/a%2Fb",
+		"/a//b":        "/a//b",
+		"http://h/%2F": "/%2F",
+	} {
+		t.Run(target, func(t *testing.T) {
+			is := is.New(t)
+			parsed, err := url.Parse(target)
+			is.NoErr(err)
+			is.Equal(settings.RoutePath(parsed), want)
+		})
+	}
+}
