fix(process): a repeated SIGTERM doesn't cut requests in flight

A process manager may repeat SIGTERM and has SIGKILL for a process that stops too slowly. Only a second SIGINT, an operator at a terminal, still forces the exit.

--- a/core/events/events.go
+++ b/core/events/events.go
@@ -35,7 +35,7 @@
 	ProcessStarted     = define(100, "processStarted", logrus.InfoLevel, "A process is listening on its addresses.")
 	ProcessStopping    = define(101, "processStopping", logrus.InfoLevel, "A process is shutting down and rejects new requests.")
 	ProcessStopped     = define(102, "processStopped", logrus.InfoLevel, "A process completed its requests and exits.")
-	ProcessCut         = define(103, "processCut", logrus.ErrorLevel, "The limit on the duration of a shutdown passed, or a second signal arrived, and requests in flight were aborted.")
+	ProcessCut         = define(103, "processCut", logrus.ErrorLevel, "The limit on the duration of a shutdown passed, or a second SIGINT arrived, and requests in flight were aborted.")
 	ProcessReloaded    = define(104, "processReloaded", logrus.InfoLevel, "A process reloaded its configuration file.")
 	LinesLeftOut       = define(105, "linesLeftOut", logrus.WarnLevel, "A process exceeded its limit of log lines per second; the field lines counts the dropped ones.")
 	SettingsInForce    = define(200, "settingsInForce", logrus.InfoLevel, "A version of the settings took effect in this process.")
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -273,8 +273,9 @@
 })
 
 // WaitForStop blocks until SIGTERM, SIGINT or the end of the context. If it returned
-// because of a signal, a second signal calls onForcedExit and then ends the process
-// immediately with ExitForced.
+// because of a signal, a later SIGINT calls onForcedExit and then ends the process
+// immediately with ExitForced. A later SIGTERM changes nothing: process managers may
+// repeat it, and end a process that stops too slowly with SIGKILL.
 func WaitForStop(ctx context.Context, onForcedExit func()) {
 	signals := CatchStop()
 	select {
@@ -283,8 +284,13 @@
 		return
 	}
 	go func() {
-		<-signals
+		waitForInterrupt(signals)
 		onForcedExit()
 		os.Exit(ExitForced)
 	}()
 }
+
+func waitForInterrupt(signals <-chan os.Signal) {
+	for <-signals != os.Interrupt {
+	}
+}
