--- a/core/settings/route.go
+++ b/core/settings/route.go
@@ -1,8 +1,8 @@
 package settings
 
 import (
-	"net/url"
 	"net"
+	"net/url"
 	"strings"
 )
 
