feat(quota): ask what the holders of a quota have without taking

Operators couldn't see what is left of an organisation's quota, nor whether a request would be admitted, other than by sending one, which takes a token.

Node.Fork is a copy of what a daemon knows about one organisation. The request path's own code decides on it, and its calls go to the new link method quota.peek, which runs the holder's code on a copy of the bucket.

Ruled out: a second implementation of the decision, which would drift from the first; quota.take with a count of 0, which takes nothing but creates buckets and moves the version of the settings that a holder has heard of.

A holder of an older program doesn't know quota.peek: it is shown as unknown, and a rejection that it might have prevented as uncertain.

--- a/cactusd/internal/quota/quota.go
+++ b/cactusd/internal/quota/quota.go
@@ -7,6 +7,8 @@
 //	qu := quota.New(options)
 //	verdict := qu.Take(ctx, organisation)
 //	qu.Return(organisation)   // the request has not run
+//	preview := qu.Preview(ctx, organisation)       // what Take would return; takes nothing
+//	levels := qu.Levels(ctx, organisations)        // what the holders have
 //	qu.Tick()                 // several times a second
 package quota
 
@@ -97,6 +99,7 @@
 	link.Handle(opts.Mux, methodMembers, func(context.Context, string, membersRequest) (membersAnswer, error) {
 		return qu.listMembers(), nil
 	})
+	link.Handle(opts.Mux, MethodPeek, qu.servePeek)
 	return qu
 }
 
@@ -108,7 +111,7 @@
 	}
 	qu.awaitSettled(ctx)
 	started := qu.opts.Clock.Now()
-	ask := quota.Ask{Organisation: org.Name, PerSecond: org.Rate, Burst: org.Burst, Version: qu.opts.SettingsVersion()}
+	ask := qu.ask(org)
 	qu.mu.Lock()
 	id, res := qu.node.Take(started, ask)
 	decided := make(chan quota.Decision, 1)
@@ -125,6 +128,11 @@
 	}
 }
 
+// ask returns what is asked for a request of an organisation.
+func (qu *Quota) ask(org *settings.Organisation) quota.Ask {
+	return quota.Ask{Organisation: org.Name, PerSecond: org.Rate, Burst: org.Burst, Version: qu.opts.SettingsVersion()}
+}
+
 // abandon gives up a request whose caller has gone. If it has been admitted in the
 // meantime, it returns the token.
 func (qu *Quota) abandon(id uint64, decided <-chan quota.Decision, org *settings.Organisation) {
--- a/cactusd/internal/quota/quota_test.go
+++ b/cactusd/internal/quota/quota_test.go
@@ -32,7 +32,9 @@
 // testFleet is a number of daemons that are linked over loopback.
 type testFleet struct {
 	quotas  []*quota.Quota
+	metrics []*metrics.Registry
 	servers []*httptest.Server
+	links   []*link.Server
 	view    atomic.Pointer[fleet.View]
 }
 
@@ -52,13 +54,14 @@
 		server := httptest.NewServer(links)
 		t.Cleanup(server.Close)
 		t.Cleanup(links.Close)
-		fl.servers = append(fl.servers, server)
+		fl.servers, fl.links = append(fl.servers, server), append(fl.links, links)
 		members[id] = member.Record{ID: id, Zone: "z", PeerAddress: strings.TrimPrefix(server.URL, "http://")}
 		if i >= count-old {
 			continue
 		}
+		fl.metrics = append(fl.metrics, metrics.NewRegistry())
 		fl.quotas = append(fl.quotas, quota.New(quota.Options{
-			Clock: clock.Real{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Mux: mux, Pool: pool, Self: id, Zone: "z",
+			Clock: clock.Real{}, Log: events.Discard(), Metrics: fl.metrics[i], Mux: mux, Pool: pool, Self: id, Zone: "z",
 			View: fl.view.Load, HasJoined: func() bool { return true }, SettingsVersion: func() uint64 { return 1 }, RandomSeed: uint64(i),
 		}))
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -20,6 +20,8 @@
 //	result = node.Finish(now, call, answer, ok)
 //	answer := node.Serve(now, ask)            // a call of another daemon
 //	node.Return(now, "acme")                  // the request has not run
+//	answer := node.Peek(now, ask)             // what Serve would answer; changes nothing
+//	fork := node.Fork(now, "acme", seed)      // to ask what Take would decide
 package quota
 
 import (
