--- a/cactusctl/internal/client/client.go
+++ b/cactusctl/internal/client/client.go
@@ -144,6 +144,14 @@
 	return metrics, nil
 }
 
+// Quotas returns what the holders of the quotas of some organisations have, as the first
+// configured daemon that answers finds out.
+func (cl *Client) Quotas(ctx context.Context, organisations []string) ([]*genplacement.QuotaLevel, error) {
+	return callDaemons(ctx, cl, func(ctx context.Context, address string) ([]*genplacement.QuotaLevel, error) {
+		return cl.placement(address).Quotas(ctx, &genplacement.QuotasPayload{Organisations: organisations})
+	})
+}
+
 // Status returns the status of a process.
 func (cl *Client) Status(ctx context.Context, address string) (*genprocess.StatusResult, error) {
 	status, err := cl.process(address).Status(ctx)
@@ -177,10 +185,9 @@
 		err    error
 	}
 	ans, err := callDaemons(ctx, cl, func(ctx context.Context, address string) (answer, error) {
-		cli := placementclient.NewClient(cl.cfg.Scheme, address, cl.doer(), goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
-		result, err := genplacement.NewClient(cli.Where()).Where(ctx, pay)
+		result, err := cl.placement(address).Where(ctx, pay)
 		var refused *goa.ServiceError
-		if errors.As(err, &refused) && refused.Name == "noRoute" {
+		if errors.As(err, &refused) && (refused.Name == "noRoute" || refused.Name == "unknownOrganisation" || refused.Name == "badKey") {
 			return answer{err: fmt.Errorf("%s: %w", address, err)}, nil
 		}
 		return answer{result: result}, err
@@ -205,6 +212,11 @@
 	return genkeepers.NewClient(cli.Status(), cli.Change())
 }
 
+func (cl *Client) placement(address string) *genplacement.Client {
+	cli := placementclient.NewClient(cl.cfg.Scheme, address, cl.doer(), goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return genplacement.NewClient(cli.Where(), cli.Quotas())
+}
+
 func (cl *Client) process(address string) *genprocess.Client {
 	cli := processclient.NewClient(cl.cfg.Scheme, address, cl.doer(), goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return genprocess.NewClient(cli.Status(), cli.Dump(), cli.Metrics())
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -192,6 +192,11 @@
 	return stop != nil && req.receivedAt.Sub(stop.start) > acceptWhileStopping && req.deadline.After(stop.end)
 }
 
+// rejectOutlasting rejects a request for which outlastsShutdown holds.
+func (req *request) rejectOutlasting() *wire.RunAnswer {
+	return req.reject(outcome.Stopping, "the daemon shuts down before the request's deadline")
+}
+
 // CancelQueued rejects every request that has no slot yet: those still looking for
 // an endpoint, and attempts queued at a gate.
 func (in *Ingress) CancelQueued() {
@@ -263,7 +268,7 @@
 	if current.Version == 0 {
 		return req, req.reject(outcome.NoSettings, "this daemon has not received its settings yet")
 	}
-	caller := in.identify(current.Organisations, httpReq.Header)
+	caller := in.identify(current.Organisations, in.credentialOf(httpReq.Header))
 	firm := in.firmOf(caller, httpReq.Header)
 	place := headerOr(httpReq.Header, outcome.HeaderPlace, in.opts.Place)
 	path, found := current.Resolver.Routes().Find(settings.Request{Firm: firm, Place: place, Host: httpReq.Host, Method: httpReq.Method, Path: httpReq.URL.Path})
@@ -290,7 +295,7 @@
 	}
 	req.deadline = now.Add(limit)
 	if in.outlastsShutdown(req) {
-		return req, req.reject(outcome.Stopping, "the daemon shuts down before the request's deadline")
+		return req, req.rejectOutlasting()
 	}
 	if rejection := in.takeQuota(httpReq.Context(), req); rejection != nil {
 		return req, rejection
--- a/cactusd/internal/ingress/organisation.go
+++ b/cactusd/internal/ingress/organisation.go
@@ -17,6 +17,30 @@
 	Take(ctx context.Context, org *settings.Organisation) quota.Verdict
 	// Return gives back what was taken for a request that has not run.
 	Return(org *settings.Organisation)
+	// Preview returns the verdict that Take would give now, and takes nothing.
+	Preview(ctx context.Context, org *settings.Organisation) quota.Preview
+	// Levels returns what the holders of quotas have, in the same order.
+	Levels(ctx context.Context, orgs []*settings.Organisation) []quota.Level
+}
+
+// credential is what a request says about its sender.
+type credential struct {
+	// isSent means that the request has a credential header, even an empty one.
+	isSent bool
+	// find returns the organisation that the credential belongs to, or nil.
+	find func(*settings.Organisations) *settings.Organisation
+}
+
+// credentialOf returns the credential of a request. A header that is sent twice holds no
+// key.
+func (in *Ingress) credentialOf(header http.Header) credential {
+	values := header.Values(in.opts.Dialect.Credential)
+	return credential{isSent: len(values) > 0, find: func(organisations *settings.Organisations) *settings.Organisation {
+		if len(values) != 1 {
+			return nil
+		}
+		return organisations.ByKey(values[0])
+	}}
 }
 
 // caller is what the credential of a request says about its sender.
@@ -30,17 +54,12 @@
 	organisation *settings.Organisation
 }
 
-// identify looks up the key of a request. A header that is sent twice holds no key.
-func (in *Ingress) identify(organisations *settings.Organisations, header http.Header) caller {
+// identify looks up the sender of a request.
+func (in *Ingress) identify(organisations *settings.Organisations, sent credential) caller {
 	if in.opts.Dialect.Credential == "" || !organisations.RequireKeys() {
 		return caller{}
 	}
-	values := header.Values(in.opts.Dialect.Credential)
-	from := caller{keysRequired: true, hasCredential: len(values) > 0}
-	if len(values) == 1 {
-		from.organisation = organisations.ByKey(values[0])
-	}
-	return from
+	return caller{keysRequired: true, hasCredential: sent.isSent, organisation: sent.find(organisations)}
 }
 
 // firmOf returns the firm whose settings apply to a request. Where keys are required, it
@@ -55,13 +74,19 @@
 	return headerOr(header, outcome.HeaderFirm, in.opts.Firm)
 }
 
-// checkCaller rejects a request whose key is unknown, or which has none although its kind
-// needs one. Unless the settings are known to be the newest, the key may be a new one.
+// checkCaller counts the request of an organisation, and rejects one that judgeCaller
+// rejects.
 func (in *Ingress) checkCaller(req *request, from caller) *wire.RunAnswer {
-	req.organisation = from.organisation
-	if req.organisation != nil {
-		in.usage.of(req.organisation).requests.Add(1)
+	if from.organisation != nil {
+		in.usage.of(from.organisation).requests.Add(1)
 	}
+	return in.judgeCaller(req, from)
+}
+
+// judgeCaller rejects a request whose key is unknown, or which has none although its kind
+// needs one. Unless the settings are known to be the newest, the key may be a new one.
+func (in *Ingress) judgeCaller(req *request, from caller) *wire.RunAnswer {
+	req.organisation = from.organisation
 	if !from.keysRequired || from.organisation != nil || req.policy.Anonymous && !from.hasCredential {
 		return nil
 	}
@@ -77,20 +102,33 @@
 
 // takeQuota takes one request from the quota of the organisation, if that has a limit.
 func (in *Ingress) takeQuota(ctx context.Context, req *request) *wire.RunAnswer {
-	if in.opts.Quota == nil || req.organisation == nil || req.organisation.Rate == 0 {
+	if !in.hasLimit(req) {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	verdict := in.opts.Quota.Take(ctx, req.organisation)
+	if verdict.Outcome == quota.OverLimit {
+		in.usage.of(req.organisation).overQuota.Add(1)
+	}
+	rejection := req.judgeQuota(verdict)
+	req.hasQuota = rejection == nil
+	return rejection
+}
+
+// hasLimit reports whether a request needs a token of a quota.
+func (in *Ingress) hasLimit(req *request) bool {
+	return in.opts.Quota != nil && req.organisation != nil && req.organisation.Rate != 0
+}
+
+// judgeQuota rejects a request that its quota doesn't admit.
+func (req *request) judgeQuota(verdict quota.Verdict) *wire.RunAnswer {
 	if verdict.Outcome == quota.Admitted {
-		req.hasQuota = true
 		return nil
 	}
 	req.callerAtFault = true
 	answer := req.reject(outcome.QuotaUnavailable, "the quota of the organisation is not available")
 	if verdict.Outcome == quota.OverLimit {
-		in.usage.of(req.organisation).overQuota.Add(1)
 		answer = req.reject(outcome.OverQuota, "the organisation is over its limit")
 	}
 	answer.RetryAfter = verdict.RetryAfter
--- a/cactusd/internal/ingress/organisation_test.go
+++ b/cactusd/internal/ingress/organisation_test.go
@@ -174,9 +174,24 @@
 
 // fakeQuota returns the same verdict for each request and counts what is taken.
 type fakeQuota struct {
-	verdict quota.Verdict
-	taken   int
-	names   []string
+	verdict   quota.Verdict
+	uncertain bool
+	taken     int
+	names     []string
+}
+
+func (fa *fakeQuota) Preview(context.Context, *settings.Organisation) quota.Preview {
+	return quota.Preview{Verdict: fa.verdict, Uncertain: fa.uncertain}
+}
+
+func (fa *fakeQuota) Levels(_ context.Context, orgs []*settings.Organisation) []quota.Level {
+	levels := make([]quota.Level, 0, len(orgs))
+	for _, org := range orgs {
+		levels = append(levels, quota.Level{Organisation: org.Name, PerSecond: 5, Depth: 9, Holders: []quota.HolderLevel{
+			{Daemon: "d0", Zone: "z", Answered: true, Left: 2.5}, {Daemon: "d1", Zone: "y", Note: "no answer in time"},
+		}})
+	}
+	return levels
 }
 
 func (fa *fakeQuota) Take(_ context.Context, org *settings.Organisation) quota.Verdict {
--- a/cactusd/internal/ingress/where.go
+++ b/cactusd/internal/ingress/where.go
@@ -4,26 +4,35 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/outcome"
 	"cactusstream.example/core/placement"
+	"cactusstream.example/core/quota"
 	"cactusstream.example/core/settings"
 )
 
 // The errors of Where.
 var (
-	ErrNoSettings = errors.New("ingress: this daemon has not received its settings yet")
-	ErrNoRoute    = errors.New("ingress: no configured kind of request matches this method, host and path")
+	ErrNoSettings          = errors.New("ingress: this daemon has not received its settings yet")
+	ErrNoRoute             = errors.New("ingress: no configured kind of request matches this method, host and path")
+	ErrUnknownKey          = errors.New("ingress: no organisation has this key")
+	ErrUnknownOrganisation = errors.New("ingress: no organisation has this name")
 )
 
 // WhereQuery describes a request that is not sent.
 type WhereQuery struct {
-	// Request names its route. An empty firm or place is that of the daemon.
-	Request   settings.Request
-	BodyBytes int
+	// Request names its route. An empty firm or place is that of the daemon. If requests
+	// need keys, the firm is ignored as its header is.
+	Request settings.Request
+	// Organisation is the name of the organisation that sends the request, with one of its
+	// keys; KeyDigest is the digest of the key that is sent. Without both, no key is sent.
+	Organisation string
+	KeyDigest    *settings.KeyDigest
+	BodyBytes    int
 	// Deadline is the one that the caller sets, or 0 for that of the kind.
 	Deadline time.Duration
 }
@@ -36,11 +45,27 @@
 	SettingsVersion uint64
 	Remaining       time.Duration
 	ExpectedBytes   float64
+	Admission       Admission
 	// Verdict says what would happen to the request.
 	Verdict    string
 	Candidates []WhereCandidate
 }
 
+// Admission tells whether a request that arrives now is admitted.
+type Admission struct {
+	// Organisation is the one that sends the request, or nil. Quota is what the holders of
+	// its quota have, if it has a limit.
+	Organisation *settings.Organisation
+	Quota        quota.Level
+	// Rejection is the answer to a request that is not admitted, or nil. Status is its HTTP
+	// status. Uncertain means that a holder that can't be asked might admit the request.
+	Rejection *wire.RunAnswer
+	Status    int
+	Uncertain bool
+	// Note says why no organisation is known, if the query names one.
+	Note string
+}
+
 // WhereCandidate is an endpoint of the service of a request.
 type WhereCandidate struct {
 	Endpoint fleet.Endpoint
@@ -58,15 +83,22 @@
 }
 
 // Where tells where a request that arrives now would go, by the decision code of requests.
-// It asks gates for wait estimates and sends nothing to an upstream. Trial requests, which
-// are chosen at random, are left out.
+// It asks gates for wait estimates, and the holders of the quota what they have. It takes
+// nothing and sends nothing to an upstream. Trial requests, which are chosen at random, are
+// left out, and requests of internal kinds count as having the credentials.
 func (in *Ingress) Where(ctx context.Context, query WhereQuery) (*Whereabouts, error) {
 	current := in.opts.Replica.Current()
 	if current.Version == 0 {
 		return nil, ErrNoSettings
 	}
+	from, err := in.identifyQuery(current.Organisations, query)
+	if err != nil {
+		return nil, err
+	}
 	route := query.Request
-	route.Firm, route.Place = orDefault(route.Firm, in.opts.Firm), orDefault(route.Place, in.opts.Place)
+	header := http.Header{}
+	header.Set(outcome.HeaderFirm, route.Firm)
+	route.Firm, route.Place = in.firmOf(from, header), orDefault(route.Place, in.opts.Place)
 	path, found := current.Resolver.Routes().Find(route)
 	if !found {
 		return nil, fmt.Errorf("%w: %s %s%s", ErrNoRoute, route.Method, route.Host, route.Path)
@@ -80,10 +112,106 @@
 	req.deadline = req.receivedAt.Add(limit)
 	req.runRequest = wire.RunRequest{Firm: route.Firm, CostClass: req.costClass(route.Path, query.BodyBytes)}
 	where := &Whereabouts{Firm: route.Firm, Path: req.path, Rank: req.policy.Rank, SettingsVersion: current.Version, Remaining: limit, ExpectedBytes: in.expectedBytes(req)}
+	if where.Admission, err = in.judge(ctx, req, from, query); err != nil {
+		return nil, err
+	}
+	if where.Admission.Rejection != nil && !where.Admission.Uncertain {
+		in.rejectWhere(req, where)
+		return where, nil
+	}
 	in.locate(ctx, req, where)
 	return where, nil
 }
 
+// identifyQuery returns the sender of the request that a query describes.
+func (in *Ingress) identifyQuery(organisations *settings.Organisations, query WhereQuery) (caller, error) {
+	sent := credential{isSent: query.Organisation != "" || query.KeyDigest != nil, find: func(organisations *settings.Organisations) *settings.Organisation {
+		switch org := organisations.ByName(query.Organisation); {
+		case query.KeyDigest != nil:
+			return organisations.ByDigest(*query.KeyDigest)
+		case org != nil && len(org.Digests) > 0:
+			return org
+		}
+		return nil // No request can be sent with a key of an organisation that has none.
+	}}
+	if query.Organisation != "" && organisations.ByName(query.Organisation) == nil {
+		return caller{}, fmt.Errorf("%w: %q", ErrUnknownOrganisation, query.Organisation)
+	}
+	return in.identify(organisations, sent), nil
+}
+
+// judge decides whether a request is admitted, as newRequest does but without taking from
+// the quota.
+func (in *Ingress) judge(ctx context.Context, req *request, from caller, query WhereQuery) (Admission, error) {
+	rejection := in.judgeCaller(req, from)
+	if rejection != nil && query.KeyDigest != nil {
+		return Admission{}, fmt.Errorf("%w: the request would be rejected with %d %s: %s", ErrUnknownKey, in.status(*rejection), rejection.Reason, rejection.Detail)
+	}
+	if from.organisation == nil && query.KeyDigest != nil {
+		return Admission{}, fmt.Errorf("%w, but this daemon checks no keys: the request would be admitted without an organisation", ErrUnknownKey)
+	}
+	if rejection == nil && in.outlastsShutdown(req) {
+		rejection = req.rejectOutlasting()
+	}
+	adm := Admission{Organisation: from.organisation, Rejection: rejection}
+	switch {
+	case query.Organisation == "" || from.organisation != nil:
+	case from.keysRequired:
+		adm.Note = "the organisation has no key, so that no request can be known as its own"
+	default:
+		adm.Note = "no organisation has a key, so that requests are admitted without one"
+	}
+	if in.hasLimit(req) {
+		adm.Quota = in.opts.Quota.Levels(ctx, []*settings.Organisation{req.organisation})[0]
+	}
+	if rejection == nil && in.hasLimit(req) {
+		ctx, cancel := context.WithDeadline(ctx, req.deadline)
+		defer cancel()
+		preview := in.opts.Quota.Preview(ctx, req.organisation)
+		adm.Rejection, adm.Uncertain = req.judgeQuota(preview.Verdict), preview.Uncertain
+	}
+	if adm.Rejection != nil {
+		adm.Status = in.status(*adm.Rejection)
+	}
+	return adm, nil
+}
+
+// rejectWhere fills in the candidates and the verdict for a request that is not admitted.
+// Its gates aren't asked.
+func (in *Ingress) rejectWhere(req *request, where *Whereabouts) {
+	rejection := where.Admission.Rejection
+	where.Verdict = fmt.Sprintf("rejected with %d %s: %s", where.Admission.Status, rejection.Reason, rejection.Detail)
+	pool := in.opts.View().Pools[req.path.Service]
+	if pool == nil {
+		return
+	}
+	in.listCandidates(req, pool, where)
+	for i := range where.Candidates {
+		if where.Candidates[i].Group == "preferred" {
+			where.Candidates[i].Reason = "not asked: the request is not admitted"
+		}
+	}
+}
+
+// Levels returns what the holders of the quotas of some organisations have.
+// Organisations without a limit, and those that don't exist, are left out.
+func (in *Ingress) Levels(ctx context.Context, names []string) ([]quota.Level, error) {
+	current := in.opts.Replica.Current()
+	if current.Version == 0 {
+		return nil, ErrNoSettings
+	}
+	var orgs []*settings.Organisation
+	for _, name := range names {
+		if org := current.Organisations.ByName(name); org != nil && org.Rate > 0 {
+			orgs = append(orgs, org)
+		}
+	}
+	if in.opts.Quota == nil || len(orgs) == 0 {
+		return nil, nil
+	}
+	return in.opts.Quota.Levels(ctx, orgs), nil
+}
+
 func orDefault(name, fallback string) string {
 	if name != "" {
 		return name
--- a/core/design/design.go
+++ b/core/design/design.go
@@ -285,13 +285,57 @@
 	Required("upstream", "daemon", "zone", "state", "group", "asked", "waitMs", "durationMs", "costMs", "inTime", "chosen", "reason")
 })
 
+// WhereHolder is a daemon that holds a part of a quota.
+var WhereHolder = Type("WhereHolder", func() {
+	Attribute("daemon", String)
+	Attribute("zone", String)
+	Attribute("answered", Boolean, "Whether what it has is known.")
+	Attribute("left", Float64, "Number of tokens that it has; 0 if unknown.")
+	Attribute("retryAfterMs", Int64, "When its next token is expected; 0 if it has one.")
+	Attribute("note", String, "Why what it has is unknown, or that it holds nothing.")
+	Required("daemon", "zone", "answered", "left", "retryAfterMs", "note")
+})
+
+// WhereAdmission tells whether a request is admitted.
+var WhereAdmission = Type("WhereAdmission", func() {
+	Attribute("outcome", String, "admitted, rejected, or unknown if a holder that can't be asked might admit the request.")
+	Attribute("status", Int, "HTTP status of the rejection; 0 for none.")
+	Attribute("reason", String, "Reason of the rejection.")
+	Attribute("detail", String)
+	Attribute("retryAfterMs", Int64, "When a request is likely to be admitted; 0 if unknown.")
+	Attribute("note", String, "Why no organisation is known, if the request names one.")
+	Attribute("organisation", String, "Name of the organisation that sends the request, or empty.")
+	Attribute("rank", Int, "Rank of the organisation.")
+	Attribute("rate", Float64, "Limit on requests a second; 0 for none.")
+	Attribute("burst", Float64)
+	Attribute("holderRate", Float64, "Rate of each holder's part.")
+	Attribute("holderDepth", Float64, "Number of tokens that each holder can have.")
+	Attribute("left", Float64, "Number of tokens that the holders that answered have.")
+	Attribute("answered", Int, "Number of holders that answered.")
+	Attribute("holders", ArrayOf(WhereHolder))
+	Required("outcome", "status", "reason", "detail", "retryAfterMs", "note", "organisation", "rank", "rate", "burst", "holderRate", "holderDepth", "left", "answered", "holders")
+})
+
+// QuotaLevel is what the holders of an organisation's quota have.
+var QuotaLevel = Type("QuotaLevel", func() {
+	Attribute("organisation", String)
+	Attribute("left", Float64, "Number of tokens that the holders that answered have.")
+	Attribute("holders", Int)
+	Attribute("answered", Int, "Number of holders that answered.")
+	Required("organisation", "left", "holders", "answered")
+})
+
 var _ = Service("placement", func() {
 	Description("Explanation of where a daemon would send a request, served by daemons.")
 	Error("noRoute", ErrorResult)
 	Error("noSettings", ErrorResult)
+	Error("unknownOrganisation", ErrorResult)
+	Error("badKey", ErrorResult)
 	HTTP(func() {
 		Response("noRoute", StatusNotFound)
 		Response("noSettings", StatusServiceUnavailable)
+		Response("unknownOrganisation", StatusNotFound)
+		Response("badKey", StatusUnprocessableEntity)
 	})
 	Method("where", func() {
 		Description("Return where a request that arrives now would go, and why. Nothing is sent to an upstream.")
@@ -303,6 +347,9 @@
 			Attribute("place", String, func() { Default(""); MaxLength(256) })
 			Attribute("bodyBytes", Int, "Size of the body of the request.", func() { Default(0); Minimum(0) })
 			Attribute("deadlineMs", Int, "Deadline that the caller sets; 0 for none.", func() { Default(0); Minimum(0); Maximum(86400000) })
+			Attribute("organisation", String, "Name of the organisation that sends the request with one of its keys.", func() { Default(""); MaxLength(256) })
+			// Without a pattern: the error of goa would repeat the value, which may be a key.
+			Attribute("keyDigest", String, "Digest of the key that is sent, as in the settings.", func() { Default("") })
 			Required("path")
 		})
 		Result(func() {
@@ -314,6 +361,7 @@
 			Attribute("remainingMs", Int64, "Time until the deadline.")
 			Attribute("expectedBytes", Int64, "Expected size of the request and its answer.")
 			Attribute("verdict", String, "What would happen to the request.")
+			Attribute("admission", WhereAdmission, "Whether the request is admitted. Older daemons leave it out.")
 			Attribute("candidates", ArrayOf(WhereCandidate))
 			Required("firm", "service", "kind", "rank", "settingsVersion", "remainingMs", "expectedBytes", "verdict", "candidates")
 		})
@@ -326,7 +374,18 @@
 			Param("place")
 			Param("bodyBytes")
 			Param("deadlineMs")
+			Param("organisation")
+			Header("keyDigest:Cactus-Key-Digest")
+		})
+	})
+	Method("quotas", func() {
+		Description("Return what the holders of the quotas of some organisations have. Takes nothing. Organisations without a limit, and those that the daemon doesn't know, are left out.")
+		Payload(func() {
+			Attribute("organisations", ArrayOf(String), func() { MaxLength(100) })
+			Required("organisations")
 		})
+		Result(ArrayOf(QuotaLevel))
+		HTTP(func() { POST("/v1/quotas") })
 	})
 })
 
--- a/core/gen/http/announce/client/cli.go
+++ b/core/gen/http/announce/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(announceAnnounceBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"address\": \"wuu\",\n      \"coldMs\": 2127059,\n      \"connections\": 89857,\n      \"id\": \"igQ\",\n      \"service\": \"j\",\n      \"slots\": 9797\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"address\": \"yik\",\n      \"coldMs\": 1153176,\n      \"connections\": 19513,\n      \"id\": \"y\",\n      \"service\": \"N\",\n      \"slots\": 5968\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.id", body.ID, "^[A-Za-z0-9._-]{1,64}$"))
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.service", body.Service, "^[A-Za-z0-9._-]{1,64}$"))
@@ -79,7 +79,7 @@
 	{
 		err = json.Unmarshal([]byte(announceReportBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"busy\": 73752\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"busy\": 23378\n   }'")
 		}
 		if body.Busy < 0 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.busy", body.Busy, 0, true))
--- a/core/gen/http/cli/cactusstream/cli.go
+++ b/core/gen/http/cli/cactusstream/cli.go
@@ -32,18 +32,18 @@
 		"keepers (status|change)",
 		"process (status|dump|metrics)",
 		"fleet (members|upstreams)",
-		"placement where",
+		"placement (where|quotas)",
 		"announce (announce|report|leave)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "settings apply --body '{\n      \"author\": \"rkx\",\n      \"edits\": [\n         {\n            \"key\": \"q80\",\n            \"path\": \"glh\",\n            \"unset\": false,\n            \"value\": \"b0q\"\n         }\n      ],\n      \"expectVersion\": 6101118820078310656,\n      \"id\": \"v\",\n      \"reason\": \"4zq\"\n   }'" + "\n" +
+	return os.Args[0] + " " + "settings apply --body '{\n      \"author\": \"a6b\",\n      \"edits\": [\n         {\n            \"key\": \"54o\",\n            \"path\": \"3w8\",\n            \"unset\": true,\n            \"value\": \"mld\"\n         },\n         {\n            \"key\": \"54o\",\n            \"path\": \"3w8\",\n            \"unset\": true,\n            \"value\": \"mld\"\n         }\n      ],\n      \"expectVersion\": 3128433027185074980,\n      \"id\": \"qr5\",\n      \"reason\": \"bjj\"\n   }'" + "\n" +
 		os.Args[0] + " " + "keepers status" + "\n" +
 		os.Args[0] + " " + "process status" + "\n" +
 		os.Args[0] + " " + "fleet members" + "\n" +
-		os.Args[0] + " " + "placement where --method \"1kr\" --host \"fjn\" --path \"u4l\" --firm \"sr4\" --place \"vpa\" --body-bytes 924632966601098589 --deadline-ms 48860629" + "\n" +
+		os.Args[0] + " " + "placement where --method \"vbx\" --host \"sqn\" --path \"hz\" --firm \"rm1\" --place \"7uo\" --body-bytes 8037825546622271579 --deadline-ms 68131093 --organisation \"b4p\" --key-digest \"Nihil iusto et et ab sunt sit.\"" + "\n" +
 		""
 }
 
@@ -96,14 +96,19 @@
 
 		placementFlags = flag.NewFlagSet("placement", flag.ContinueOnError)
 
-		placementWhereFlags          = flag.NewFlagSet("where", flag.ExitOnError)
-		placementWhereMethodFlag     = placementWhereFlags.String("method", "GET", "")
-		placementWhereHostFlag       = placementWhereFlags.String("host", "", "")
-		placementWherePathFlag       = placementWhereFlags.String("path", "REQUIRED", "")
-		placementWhereFirmFlag       = placementWhereFlags.String("firm", "", "")
-		placementWherePlaceFlag      = placementWhereFlags.String("place", "", "")
-		placementWhereBodyBytesFlag  = placementWhereFlags.String("body-bytes", "", "")
-		placementWhereDeadlineMsFlag = placementWhereFlags.String("deadline-ms", "", "")
+		placementWhereFlags            = flag.NewFlagSet("where", flag.ExitOnError)
+		placementWhereMethodFlag       = placementWhereFlags.String("method", "GET", "")
+		placementWhereHostFlag         = placementWhereFlags.String("host", "", "")
+		placementWherePathFlag         = placementWhereFlags.String("path", "REQUIRED", "")
+		placementWhereFirmFlag         = placementWhereFlags.String("firm", "", "")
+		placementWherePlaceFlag        = placementWhereFlags.String("place", "", "")
+		placementWhereBodyBytesFlag    = placementWhereFlags.String("body-bytes", "", "")
+		placementWhereDeadlineMsFlag   = placementWhereFlags.String("deadline-ms", "", "")
+		placementWhereOrganisationFlag = placementWhereFlags.String("organisation", "", "")
+		placementWhereKeyDigestFlag    = placementWhereFlags.String("key-digest", "", "")
+
+		placementQuotasFlags    = flag.NewFlagSet("quotas", flag.ExitOnError)
+		placementQuotasBodyFlag = placementQuotasFlags.String("body", "REQUIRED", "")
 
 		announceFlags = flag.NewFlagSet("announce", flag.ContinueOnError)
 
@@ -138,6 +143,7 @@
 
 	placementFlags.Usage = placementUsage
 	placementWhereFlags.Usage = placementWhereUsage
+	placementQuotasFlags.Usage = placementQuotasUsage
 
 	announceFlags.Usage = announceUsage
 	announceAnnounceFlags.Usage = announceAnnounceUsage
@@ -240,6 +246,9 @@
 			case "where":
 				epf = placementWhereFlags
 
+			case "quotas":
+				epf = placementQuotasFlags
+
 			}
 
 		case "announce":
@@ -323,7 +332,10 @@
 			switch epn {
 			case "where":
 				endpoint = c.Where()
-				data, err = placementc.BuildWherePayload(*placementWhereMethodFlag, *placementWhereHostFlag, *placementWherePathFlag, *placementWhereFirmFlag, *placementWherePlaceFlag, *placementWhereBodyBytesFlag, *placementWhereDeadlineMsFlag)
+				data, err = placementc.BuildWherePayload(*placementWhereMethodFlag, *placementWhereHostFlag, *placementWherePathFlag, *placementWhereFirmFlag, *placementWherePlaceFlag, *placementWhereBodyBytesFlag, *placementWhereDeadlineMsFlag, *placementWhereOrganisationFlag, *placementWhereKeyDigestFlag)
+			case "quotas":
+				endpoint = c.Quotas()
+				data, err = placementc.BuildQuotasPayload(*placementQuotasBodyFlag)
 			}
 		case "announce":
 			c := announcec.NewClient(scheme, host, doer, enc, dec, restore)
@@ -375,7 +387,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings apply --body '{\n      \"author\": \"rkx\",\n      \"edits\": [\n         {\n            \"key\": \"q80\",\n            \"path\": \"glh\",\n            \"unset\": false,\n            \"value\": \"b0q\"\n         }\n      ],\n      \"expectVersion\": 6101118820078310656,\n      \"id\": \"v\",\n      \"reason\": \"4zq\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings apply --body '{\n      \"author\": \"a6b\",\n      \"edits\": [\n         {\n            \"key\": \"54o\",\n            \"path\": \"3w8\",\n            \"unset\": true,\n            \"value\": \"mld\"\n         },\n         {\n            \"key\": \"54o\",\n            \"path\": \"3w8\",\n            \"unset\": true,\n            \"value\": \"mld\"\n         }\n      ],\n      \"expectVersion\": 3128433027185074980,\n      \"id\": \"qr5\",\n      \"reason\": \"bjj\"\n   }'")
 }
 
 func settingsTreeUsage() {
@@ -395,7 +407,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings tree --version 3626735204034190374 --fresh true")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings tree --version 7580177111190211429 --fresh false")
 }
 
 func settingsLogUsage() {
@@ -415,7 +427,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings log --before 9920937511419970264 --limit 463")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings log --before 13593161280575351515 --limit 527")
 }
 
 func settingsExplainUsage() {
@@ -433,7 +445,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings explain --path \"m4n\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings explain --path \"8mf\"")
 }
 
 // keepersUsage displays the usage of the keepers command and its subcommands.
@@ -478,7 +490,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "keepers change --body '{\n      \"id\": \"y\",\n      \"operation\": \"add\",\n      \"operatorAddress\": \"rf9\",\n      \"peerAddress\": \"5oo\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "keepers change --body '{\n      \"id\": \"f\",\n      \"operation\": \"add\",\n      \"operatorAddress\": \"lps\",\n      \"peerAddress\": \"n2u\"\n   }'")
 }
 
 // processUsage displays the usage of the process command and its subcommands.
@@ -591,6 +603,7 @@
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] placement COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    where: Return where a request that arrives now would go, and why. Nothing is sent to an upstream.`)
+	fmt.Fprintln(os.Stderr, `    quotas: Return what the holders of the quotas of some organisations have. Takes nothing. Organisations without a limit, and those that the daemon doesn't know, are left out.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
 	fmt.Fprintf(os.Stderr, "    %s placement COMMAND --help\n", os.Args[0])
@@ -605,6 +618,8 @@
 	fmt.Fprint(os.Stderr, " -place STRING")
 	fmt.Fprint(os.Stderr, " -body-bytes INT")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
+	fmt.Fprint(os.Stderr, " -organisation STRING")
+	fmt.Fprint(os.Stderr, " -key-digest STRING")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -619,10 +634,30 @@
 	fmt.Fprintln(os.Stderr, `    -place STRING: `)
 	fmt.Fprintln(os.Stderr, `    -body-bytes INT: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
+	fmt.Fprintln(os.Stderr, `    -organisation STRING: `)
+	fmt.Fprintln(os.Stderr, `    -key-digest STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "placement where --method \"vbx\" --host \"sqn\" --path \"hz\" --firm \"rm1\" --place \"7uo\" --body-bytes 8037825546622271579 --deadline-ms 68131093 --organisation \"b4p\" --key-digest \"Nihil iusto et et ab sunt sit.\"")
+}
+
+func placementQuotasUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] placement quotas", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Return what the holders of the quotas of some organisations have. Takes nothing. Organisations without a limit, and those that the daemon doesn't know, are left out.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "placement where --method \"1kr\" --host \"fjn\" --path \"u4l\" --firm \"sr4\" --place \"vpa\" --body-bytes 924632966601098589 --deadline-ms 48860629")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "placement quotas --body '{\n      \"organisations\": [\n         \"Vel neque.\",\n         \"Dolorem modi consequuntur quia quod.\",\n         \"Rerum voluptatem temporibus nihil.\"\n      ]\n   }'")
 }
 
 // announceUsage displays the usage of the announce command and its subcommands.
@@ -652,7 +687,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce announce --body '{\n      \"address\": \"3xd\",\n      \"coldMs\": 498481,\n      \"connections\": 73169,\n      \"id\": \"HG\",\n      \"service\": \"Y4\",\n      \"slots\": 6423\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce announce --body '{\n      \"address\": \"yik\",\n      \"coldMs\": 1153176,\n      \"connections\": 19513,\n      \"id\": \"y\",\n      \"service\": \"N\",\n      \"slots\": 5968\n   }'")
 }
 
 func announceReportUsage() {
@@ -672,7 +707,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce report --body '{\n      \"busy\": 74616\n   }' --id \"6x3\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce report --body '{\n      \"busy\": 23378\n   }' --id \"sqy\"")
 }
 
 func announceLeaveUsage() {
@@ -690,5 +725,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce leave --id \"jkf\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "announce leave --id \"oxz\"")
 }
--- a/core/gen/http/keepers/client/cli.go
+++ b/core/gen/http/keepers/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(keepersChangeBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"id\": \"6o\",\n      \"operation\": \"add\",\n      \"operatorAddress\": \"4u1\",\n      \"peerAddress\": \"9sh\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"id\": \"f\",\n      \"operation\": \"add\",\n      \"operatorAddress\": \"lps\",\n      \"peerAddress\": \"n2u\"\n   }'")
 		}
 		if !(body.Operation == "add" || body.Operation == "promote" || body.Operation == "remove") {
 			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.operation", body.Operation, []any{"add", "promote", "remove"}))
--- a/core/gen/http/placement/client/cli.go
+++ b/core/gen/http/placement/client/cli.go
@@ -8,6 +8,7 @@
 package client
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"unicode/utf8"
@@ -18,7 +19,7 @@
 
 // BuildWherePayload builds the payload for the placement where endpoint from
 // CLI flags.
-func BuildWherePayload(placementWhereMethod string, placementWhereHost string, placementWherePath string, placementWhereFirm string, placementWherePlace string, placementWhereBodyBytes string, placementWhereDeadlineMs string) (*placement.WherePayload, error) {
+func BuildWherePayload(placementWhereMethod string, placementWhereHost string, placementWherePath string, placementWhereFirm string, placementWherePlace string, placementWhereBodyBytes string, placementWhereDeadlineMs string, placementWhereOrganisation string, placementWhereKeyDigest string) (*placement.WherePayload, error) {
 	var err error
 	var method string
 	{
@@ -118,6 +119,24 @@
 			}
 		}
 	}
+	var organisation string
+	{
+		if placementWhereOrganisation != "" {
+			organisation = placementWhereOrganisation
+			if utf8.RuneCountInString(organisation) > 256 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("organisation", organisation, utf8.RuneCountInString(organisation), 256, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	var keyDigest string
+	{
+		if placementWhereKeyDigest != "" {
+			keyDigest = placementWhereKeyDigest
+		}
+	}
 	v := &placement.WherePayload{}
 	v.Method = method
 	v.Host = host
@@ -126,6 +145,41 @@
 	v.Place = place
 	v.BodyBytes = bodyBytes
 	v.DeadlineMs = deadlineMs
+	v.Organisation = organisation
+	v.KeyDigest = keyDigest
+
+	return v, nil
+}
+
+// BuildQuotasPayload builds the payload for the placement quotas endpoint from
+// CLI flags.
+func BuildQuotasPayload(placementQuotasBody string) (*placement.QuotasPayload, error) {
+	var err error
+	var body QuotasRequestBody
+	{
+		err = json.Unmarshal([]byte(placementQuotasBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"organisations\": [\n         \"Vel neque.\",\n         \"Dolorem modi consequuntur quia quod.\",\n         \"Rerum voluptatem temporibus nihil.\"\n      ]\n   }'")
+		}
+		if body.Organisations == nil {
+			err = goa.MergeErrors(err, goa.MissingFieldError("organisations", "body"))
+		}
+		if len(body.Organisations) > 100 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.organisations", body.Organisations, len(body.Organisations), 100, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	v := &placement.QuotasPayload{}
+	if body.Organisations != nil {
+		v.Organisations = make([]string, len(body.Organisations))
+		for i, val := range body.Organisations {
+			v.Organisations[i] = val
+		}
+	} else {
+		v.Organisations = []string{}
+	}
 
 	return v, nil
 }
--- a/core/gen/http/placement/client/client.go
+++ b/core/gen/http/placement/client/client.go
@@ -20,6 +20,9 @@
 	// Where Doer is the HTTP client used to make requests to the where endpoint.
 	WhereDoer goahttp.Doer
 
+	// Quotas Doer is the HTTP client used to make requests to the quotas endpoint.
+	QuotasDoer goahttp.Doer
+
 	// RestoreResponseBody controls whether the response bodies are reset after
 	// decoding so they can be read again.
 	RestoreResponseBody bool
@@ -41,6 +44,7 @@
 ) *Client {
 	return &Client{
 		WhereDoer:           doer,
+		QuotasDoer:          doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
 		host:                host,
@@ -72,3 +76,27 @@
 		return decodeResponse(resp)
 	}
 }
+
+// Quotas returns an endpoint that makes HTTP requests to the placement service
+// quotas server.
+func (c *Client) Quotas() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeQuotasRequest(c.encoder)
+		decodeResponse = DecodeQuotasResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildQuotasRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.QuotasDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("placement", "quotas", err)
+		}
+		return decodeResponse(resp)
+	}
+}
--- a/core/gen/http/placement/client/encode_decode.go
+++ b/core/gen/http/placement/client/encode_decode.go
@@ -17,6 +17,7 @@
 
 	placement "cactusstream.example/core/gen/placement"
 	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
 )
 
 // BuildWhereRequest instantiates a HTTP request object with method and path
@@ -42,6 +43,10 @@
 		if !ok {
 			return goahttp.ErrInvalidType("placement", "where", "*placement.WherePayload", v)
 		}
+		{
+			head := p.KeyDigest
+			req.Header.Set("Cactus-Key-Digest", head)
+		}
 		values := req.URL.Query()
 		values.Add("method", p.Method)
 		values.Add("host", p.Host)
@@ -50,6 +55,7 @@
 		values.Add("place", p.Place)
 		values.Add("bodyBytes", fmt.Sprintf("%v", p.BodyBytes))
 		values.Add("deadlineMs", fmt.Sprintf("%v", p.DeadlineMs))
+		values.Add("organisation", p.Organisation)
 		req.URL.RawQuery = values.Encode()
 		return nil
 	}
@@ -60,7 +66,9 @@
 // should be restored after having been read.
 // DecodeWhereResponse may return the following errors:
 //   - "noRoute" (type *goa.ServiceError): http.StatusNotFound
+//   - "unknownOrganisation" (type *goa.ServiceError): http.StatusNotFound
 //   - "noSettings" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - "badKey" (type *goa.ServiceError): http.StatusUnprocessableEntity
 //   - error: internal error
 func DecodeWhereResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -93,33 +101,68 @@
 			res := NewWhereResultOK(&body)
 			return res, nil
 		case http.StatusNotFound:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "noRoute":
+				var (
+					body WhereNoRouteResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("placement", "where", err)
+				}
+				err = ValidateWhereNoRouteResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("placement", "where", err)
+				}
+				return nil, NewWhereNoRoute(&body)
+			case "unknownOrganisation":
+				var (
+					body WhereUnknownOrganisationResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("placement", "where", err)
+				}
+				err = ValidateWhereUnknownOrganisationResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("placement", "where", err)
+				}
+				return nil, NewWhereUnknownOrganisation(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("placement", "where", resp.StatusCode, string(body))
+			}
+		case http.StatusServiceUnavailable:
 			var (
-				body WhereNoRouteResponseBody
+				body WhereNoSettingsResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("placement", "where", err)
 			}
-			err = ValidateWhereNoRouteResponseBody(&body)
+			err = ValidateWhereNoSettingsResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("placement", "where", err)
 			}
-			return nil, NewWhereNoRoute(&body)
-		case http.StatusServiceUnavailable:
+			return nil, NewWhereNoSettings(&body)
+		case http.StatusUnprocessableEntity:
 			var (
-				body WhereNoSettingsResponseBody
+				body WhereBadKeyResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("placement", "where", err)
 			}
-			err = ValidateWhereNoSettingsResponseBody(&body)
+			err = ValidateWhereBadKeyResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("placement", "where", err)
 			}
-			return nil, NewWhereNoSettings(&body)
+			return nil, NewWhereBadKey(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("placement", "where", resp.StatusCode, string(body))
@@ -127,6 +170,202 @@
 	}
 }
 
+// BuildQuotasRequest instantiates a HTTP request object with method and path
+// set to call the "placement" service "quotas" endpoint
+func (c *Client) BuildQuotasRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: QuotasPlacementPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("placement", "quotas", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeQuotasRequest returns an encoder for requests sent to the placement
+// quotas server.
+func EncodeQuotasRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*placement.QuotasPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("placement", "quotas", "*placement.QuotasPayload", v)
+		}
+		body := NewQuotasRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("placement", "quotas", err)
+		}
+		return nil
+	}
+}
+
+// DecodeQuotasResponse returns a decoder for responses returned by the
+// placement quotas endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeQuotasResponse may return the following errors:
+//   - "noRoute" (type *goa.ServiceError): http.StatusNotFound
+//   - "unknownOrganisation" (type *goa.ServiceError): http.StatusNotFound
+//   - "noSettings" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - "badKey" (type *goa.ServiceError): http.StatusUnprocessableEntity
+//   - error: internal error
+func DecodeQuotasResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body []*QuotaLevelResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("placement", "quotas", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateQuotaLevelResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("placement", "quotas", err)
+			}
+			res := NewQuotasQuotaLevelOK(body)
+			return res, nil
+		case http.StatusNotFound:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "noRoute":
+				var (
+					body QuotasNoRouteResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("placement", "quotas", err)
+				}
+				err = ValidateQuotasNoRouteResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("placement", "quotas", err)
+				}
+				return nil, NewQuotasNoRoute(&body)
+			case "unknownOrganisation":
+				var (
+					body QuotasUnknownOrganisationResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("placement", "quotas", err)
+				}
+				err = ValidateQuotasUnknownOrganisationResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("placement", "quotas", err)
+				}
+				return nil, NewQuotasUnknownOrganisation(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("placement", "quotas", resp.StatusCode, string(body))
+			}
+		case http.StatusServiceUnavailable:
+			var (
+				body QuotasNoSettingsResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("placement", "quotas", err)
+			}
+			err = ValidateQuotasNoSettingsResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("placement", "quotas", err)
+			}
+			return nil, NewQuotasNoSettings(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body QuotasBadKeyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("placement", "quotas", err)
+			}
+			err = ValidateQuotasBadKeyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("placement", "quotas", err)
+			}
+			return nil, NewQuotasBadKey(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("placement", "quotas", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// unmarshalWhereAdmissionResponseBodyToPlacementWhereAdmission builds a value
+// of type *placement.WhereAdmission from a value of type
+// *WhereAdmissionResponseBody.
+func unmarshalWhereAdmissionResponseBodyToPlacementWhereAdmission(v *WhereAdmissionResponseBody) *placement.WhereAdmission {
+	if v == nil {
+		return nil
+	}
+	res := &placement.WhereAdmission{
+		Outcome:      *v.Outcome,
+		Status:       *v.Status,
+		Reason:       *v.Reason,
+		Detail:       *v.Detail,
+		RetryAfterMs: *v.RetryAfterMs,
+		Note:         *v.Note,
+		Organisation: *v.Organisation,
+		Rank:         *v.Rank,
+		Rate:         *v.Rate,
+		Burst:        *v.Burst,
+		HolderRate:   *v.HolderRate,
+		HolderDepth:  *v.HolderDepth,
+		Left:         *v.Left,
+		Answered:     *v.Answered,
+	}
+	res.Holders = make([]*placement.WhereHolder, len(v.Holders))
+	for i, val := range v.Holders {
+		if val == nil {
+			res.Holders[i] = nil
+			continue
+		}
+		res.Holders[i] = unmarshalWhereHolderResponseBodyToPlacementWhereHolder(val)
+	}
+
+	return res
+}
+
+// unmarshalWhereHolderResponseBodyToPlacementWhereHolder builds a value of
+// type *placement.WhereHolder from a value of type *WhereHolderResponseBody.
+func unmarshalWhereHolderResponseBodyToPlacementWhereHolder(v *WhereHolderResponseBody) *placement.WhereHolder {
+	res := &placement.WhereHolder{
+		Daemon:       *v.Daemon,
+		Zone:         *v.Zone,
+		Answered:     *v.Answered,
+		Left:         *v.Left,
+		RetryAfterMs: *v.RetryAfterMs,
+		Note:         *v.Note,
+	}
+
+	return res
+}
+
 // unmarshalWhereCandidateResponseBodyToPlacementWhereCandidate builds a value
 // of type *placement.WhereCandidate from a value of type
 // *WhereCandidateResponseBody.
@@ -148,3 +387,16 @@
 
 	return res
 }
+
+// unmarshalQuotaLevelResponseToPlacementQuotaLevel builds a value of type
+// *placement.QuotaLevel from a value of type *QuotaLevelResponse.
+func unmarshalQuotaLevelResponseToPlacementQuotaLevel(v *QuotaLevelResponse) *placement.QuotaLevel {
+	res := &placement.QuotaLevel{
+		Organisation: *v.Organisation,
+		Left:         *v.Left,
+		Holders:      *v.Holders,
+		Answered:     *v.Answered,
+	}
+
+	return res
+}
--- a/core/gen/http/placement/client/paths.go
+++ b/core/gen/http/placement/client/paths.go
@@ -11,3 +11,8 @@
 func WherePlacementPath() string {
 	return "/v1/where"
 }
+
+// QuotasPlacementPath returns the URL path to the placement service quotas HTTP endpoint.
+func QuotasPlacementPath() string {
+	return "/v1/quotas"
+}
--- a/core/gen/http/placement/client/types.go
+++ b/core/gen/http/placement/client/types.go
@@ -12,6 +12,12 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// QuotasRequestBody is the type of the "placement" service "quotas" endpoint
+// HTTP request body.
+type QuotasRequestBody struct {
+	Organisations []string `form:"organisations" json:"organisations" xml:"organisations"`
+}
+
 // WhereResponseBody is the type of the "placement" service "where" endpoint
 // HTTP response body.
 type WhereResponseBody struct {
@@ -25,7 +31,9 @@
 	// Expected size of the request and its answer.
 	ExpectedBytes *int64 `form:"expectedBytes,omitempty" json:"expectedBytes,omitempty" xml:"expectedBytes,omitempty"`
 	// What would happen to the request.
-	Verdict    *string                       `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	Verdict *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	// Whether the request is admitted. Older daemons leave it out.
+	Admission  *WhereAdmissionResponseBody   `form:"admission,omitempty" json:"admission,omitempty" xml:"admission,omitempty"`
 	Candidates []*WhereCandidateResponseBody `form:"candidates,omitempty" json:"candidates,omitempty" xml:"candidates,omitempty"`
 }
 
@@ -47,6 +55,24 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// WhereUnknownOrganisationResponseBody is the type of the "placement" service
+// "where" endpoint HTTP response body for the "unknownOrganisation" error.
+type WhereUnknownOrganisationResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // WhereNoSettingsResponseBody is the type of the "placement" service "where"
 // endpoint HTTP response body for the "noSettings" error.
 type WhereNoSettingsResponseBody struct {
@@ -65,6 +91,142 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// WhereBadKeyResponseBody is the type of the "placement" service "where"
+// endpoint HTTP response body for the "badKey" error.
+type WhereBadKeyResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// QuotasNoRouteResponseBody is the type of the "placement" service "quotas"
+// endpoint HTTP response body for the "noRoute" error.
+type QuotasNoRouteResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// QuotasUnknownOrganisationResponseBody is the type of the "placement" service
+// "quotas" endpoint HTTP response body for the "unknownOrganisation" error.
+type QuotasUnknownOrganisationResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// QuotasNoSettingsResponseBody is the type of the "placement" service "quotas"
+// endpoint HTTP response body for the "noSettings" error.
+type QuotasNoSettingsResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// QuotasBadKeyResponseBody is the type of the "placement" service "quotas"
+// endpoint HTTP response body for the "badKey" error.
+type QuotasBadKeyResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// WhereAdmissionResponseBody is used to define fields on response body types.
+type WhereAdmissionResponseBody struct {
+	// admitted, rejected, or unknown if a holder that can't be asked might admit
+	// the request.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// HTTP status of the rejection; 0 for none.
+	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// Reason of the rejection.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// When a request is likely to be admitted; 0 if unknown.
+	RetryAfterMs *int64 `form:"retryAfterMs,omitempty" json:"retryAfterMs,omitempty" xml:"retryAfterMs,omitempty"`
+	// Why no organisation is known, if the request names one.
+	Note *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
+	// Name of the organisation that sends the request, or empty.
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	// Rank of the organisation.
+	Rank *int `form:"rank,omitempty" json:"rank,omitempty" xml:"rank,omitempty"`
+	// Limit on requests a second; 0 for none.
+	Rate  *float64 `form:"rate,omitempty" json:"rate,omitempty" xml:"rate,omitempty"`
+	Burst *float64 `form:"burst,omitempty" json:"burst,omitempty" xml:"burst,omitempty"`
+	// Rate of each holder's part.
+	HolderRate *float64 `form:"holderRate,omitempty" json:"holderRate,omitempty" xml:"holderRate,omitempty"`
+	// Number of tokens that each holder can have.
+	HolderDepth *float64 `form:"holderDepth,omitempty" json:"holderDepth,omitempty" xml:"holderDepth,omitempty"`
+	// Number of tokens that the holders that answered have.
+	Left *float64 `form:"left,omitempty" json:"left,omitempty" xml:"left,omitempty"`
+	// Number of holders that answered.
+	Answered *int                       `form:"answered,omitempty" json:"answered,omitempty" xml:"answered,omitempty"`
+	Holders  []*WhereHolderResponseBody `form:"holders,omitempty" json:"holders,omitempty" xml:"holders,omitempty"`
+}
+
+// WhereHolderResponseBody is used to define fields on response body types.
+type WhereHolderResponseBody struct {
+	Daemon *string `form:"daemon,omitempty" json:"daemon,omitempty" xml:"daemon,omitempty"`
+	Zone   *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	// Whether what it has is known.
+	Answered *bool `form:"answered,omitempty" json:"answered,omitempty" xml:"answered,omitempty"`
+	// Number of tokens that it has; 0 if unknown.
+	Left *float64 `form:"left,omitempty" json:"left,omitempty" xml:"left,omitempty"`
+	// When its next token is expected; 0 if it has one.
+	RetryAfterMs *int64 `form:"retryAfterMs,omitempty" json:"retryAfterMs,omitempty" xml:"retryAfterMs,omitempty"`
+	// Why what it has is unknown, or that it holds nothing.
+	Note *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
+}
+
 // WhereCandidateResponseBody is used to define fields on response body types.
 type WhereCandidateResponseBody struct {
 	Upstream *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
@@ -91,6 +253,31 @@
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 }
 
+// QuotaLevelResponse is used to define fields on response body types.
+type QuotaLevelResponse struct {
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	// Number of tokens that the holders that answered have.
+	Left    *float64 `form:"left,omitempty" json:"left,omitempty" xml:"left,omitempty"`
+	Holders *int     `form:"holders,omitempty" json:"holders,omitempty" xml:"holders,omitempty"`
+	// Number of holders that answered.
+	Answered *int `form:"answered,omitempty" json:"answered,omitempty" xml:"answered,omitempty"`
+}
+
+// NewQuotasRequestBody builds the HTTP request body from the payload of the
+// "quotas" endpoint of the "placement" service.
+func NewQuotasRequestBody(p *placement.QuotasPayload) *QuotasRequestBody {
+	body := &QuotasRequestBody{}
+	if p.Organisations != nil {
+		body.Organisations = make([]string, len(p.Organisations))
+		for i, val := range p.Organisations {
+			body.Organisations[i] = val
+		}
+	} else {
+		body.Organisations = []string{}
+	}
+	return body
+}
+
 // NewWhereResultOK builds a "placement" service "where" endpoint result from a
 // HTTP "OK" response.
 func NewWhereResultOK(body *WhereResponseBody) *placement.WhereResult {
@@ -104,6 +291,9 @@
 		ExpectedBytes:   *body.ExpectedBytes,
 		Verdict:         *body.Verdict,
 	}
+	if body.Admission != nil {
+		v.Admission = unmarshalWhereAdmissionResponseBodyToPlacementWhereAdmission(body.Admission)
+	}
 	v.Candidates = make([]*placement.WhereCandidate, len(body.Candidates))
 	for i, val := range body.Candidates {
 		if val == nil {
@@ -130,6 +320,21 @@
 	return v
 }
 
+// NewWhereUnknownOrganisation builds a placement service where endpoint
+// unknownOrganisation error.
+func NewWhereUnknownOrganisation(body *WhereUnknownOrganisationResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewWhereNoSettings builds a placement service where endpoint noSettings
 // error.
 func NewWhereNoSettings(body *WhereNoSettingsResponseBody) *goa.ServiceError {
@@ -145,6 +350,93 @@
 	return v
 }
 
+// NewWhereBadKey builds a placement service where endpoint badKey error.
+func NewWhereBadKey(body *WhereBadKeyResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewQuotasQuotaLevelOK builds a "placement" service "quotas" endpoint result
+// from a HTTP "OK" response.
+func NewQuotasQuotaLevelOK(body []*QuotaLevelResponse) []*placement.QuotaLevel {
+	v := make([]*placement.QuotaLevel, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalQuotaLevelResponseToPlacementQuotaLevel(val)
+	}
+
+	return v
+}
+
+// NewQuotasNoRoute builds a placement service quotas endpoint noRoute error.
+func NewQuotasNoRoute(body *QuotasNoRouteResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewQuotasUnknownOrganisation builds a placement service quotas endpoint
+// unknownOrganisation error.
+func NewQuotasUnknownOrganisation(body *QuotasUnknownOrganisationResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewQuotasNoSettings builds a placement service quotas endpoint noSettings
+// error.
+func NewQuotasNoSettings(body *QuotasNoSettingsResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewQuotasBadKey builds a placement service quotas endpoint badKey error.
+func NewQuotasBadKey(body *QuotasBadKeyResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // ValidateWhereResponseBody runs the validations defined on WhereResponseBody
 func ValidateWhereResponseBody(body *WhereResponseBody) (err error) {
 	if body.Firm == nil {
@@ -174,6 +466,11 @@
 	if body.Candidates == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("candidates", "body"))
 	}
+	if body.Admission != nil {
+		if err2 := ValidateWhereAdmissionResponseBody(body.Admission); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
 	for _, e := range body.Candidates {
 		if e != nil {
 			if err2 := ValidateWhereCandidateResponseBody(e); err2 != nil {
@@ -208,6 +505,30 @@
 	return
 }
 
+// ValidateWhereUnknownOrganisationResponseBody runs the validations defined on
+// where_unknownOrganisation_response_body
+func ValidateWhereUnknownOrganisationResponseBody(body *WhereUnknownOrganisationResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateWhereNoSettingsResponseBody runs the validations defined on
 // where_noSettings_response_body
 func ValidateWhereNoSettingsResponseBody(body *WhereNoSettingsResponseBody) (err error) {
@@ -232,6 +553,208 @@
 	return
 }
 
+// ValidateWhereBadKeyResponseBody runs the validations defined on
+// where_badKey_response_body
+func ValidateWhereBadKeyResponseBody(body *WhereBadKeyResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateQuotasNoRouteResponseBody runs the validations defined on
+// quotas_noRoute_response_body
+func ValidateQuotasNoRouteResponseBody(body *QuotasNoRouteResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateQuotasUnknownOrganisationResponseBody runs the validations defined
+// on quotas_unknownOrganisation_response_body
+func ValidateQuotasUnknownOrganisationResponseBody(body *QuotasUnknownOrganisationResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateQuotasNoSettingsResponseBody runs the validations defined on
+// quotas_noSettings_response_body
+func ValidateQuotasNoSettingsResponseBody(body *QuotasNoSettingsResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateQuotasBadKeyResponseBody runs the validations defined on
+// quotas_badKey_response_body
+func ValidateQuotasBadKeyResponseBody(body *QuotasBadKeyResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateWhereAdmissionResponseBody runs the validations defined on
+// WhereAdmissionResponseBody
+func ValidateWhereAdmissionResponseBody(body *WhereAdmissionResponseBody) (err error) {
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Detail == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+	}
+	if body.RetryAfterMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("retryAfterMs", "body"))
+	}
+	if body.Note == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("note", "body"))
+	}
+	if body.Organisation == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("organisation", "body"))
+	}
+	if body.Rank == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("rank", "body"))
+	}
+	if body.Rate == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("rate", "body"))
+	}
+	if body.Burst == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("burst", "body"))
+	}
+	if body.HolderRate == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("holderRate", "body"))
+	}
+	if body.HolderDepth == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("holderDepth", "body"))
+	}
+	if body.Left == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("left", "body"))
+	}
+	if body.Answered == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("answered", "body"))
+	}
+	if body.Holders == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("holders", "body"))
+	}
+	for _, e := range body.Holders {
+		if e != nil {
+			if err2 := ValidateWhereHolderResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateWhereHolderResponseBody runs the validations defined on
+// WhereHolderResponseBody
+func ValidateWhereHolderResponseBody(body *WhereHolderResponseBody) (err error) {
+	if body.Daemon == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("daemon", "body"))
+	}
+	if body.Zone == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("zone", "body"))
+	}
+	if body.Answered == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("answered", "body"))
+	}
+	if body.Left == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("left", "body"))
+	}
+	if body.RetryAfterMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("retryAfterMs", "body"))
+	}
+	if body.Note == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("note", "body"))
+	}
+	return
+}
+
 // ValidateWhereCandidateResponseBody runs the validations defined on
 // WhereCandidateResponseBody
 func ValidateWhereCandidateResponseBody(body *WhereCandidateResponseBody) (err error) {
@@ -273,3 +796,20 @@
 	}
 	return
 }
+
+// ValidateQuotaLevelResponse runs the validations defined on QuotaLevelResponse
+func ValidateQuotaLevelResponse(body *QuotaLevelResponse) (err error) {
+	if body.Organisation == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("organisation", "body"))
+	}
+	if body.Left == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("left", "body"))
+	}
+	if body.Holders == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("holders", "body"))
+	}
+	if body.Answered == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("answered", "body"))
+	}
+	return
+}
--- a/core/gen/http/placement/server/encode_decode.go
+++ b/core/gen/http/placement/server/encode_decode.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"unicode/utf8"
@@ -37,14 +38,16 @@
 	return func(r *http.Request) (*placement.WherePayload, error) {
 		var payload *placement.WherePayload
 		var (
-			method     string
-			host       string
-			path       string
-			firm       string
-			place      string
-			bodyBytes  int
-			deadlineMs int
-			err        error
+			method       string
+			host         string
+			path         string
+			firm         string
+			place        string
+			bodyBytes    int
+			deadlineMs   int
+			organisation string
+			keyDigest    string
+			err          error
 		)
 		qp := r.URL.Query()
 		methodRaw := qp.Get("method")
@@ -116,10 +119,21 @@
 		if deadlineMs > 8.64e+07 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("deadlineMs", deadlineMs, 8.64e+07, false))
 		}
+		organisationRaw := qp.Get("organisation")
+		if organisationRaw != "" {
+			organisation = organisationRaw
+		}
+		if utf8.RuneCountInString(organisation) > 256 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("organisation", organisation, utf8.RuneCountInString(organisation), 256, false))
+		}
+		keyDigestRaw := r.Header.Get("Cactus-Key-Digest")
+		if keyDigestRaw != "" {
+			keyDigest = keyDigestRaw
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewWherePayload(method, host, path, firm, place, bodyBytes, deadlineMs)
+		payload = NewWherePayload(method, host, path, firm, place, bodyBytes, deadlineMs, organisation, keyDigest)
 
 		return payload, nil
 	}
@@ -148,6 +162,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "unknownOrganisation":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhereUnknownOrganisationResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
 		case "noSettings":
 			var res *goa.ServiceError
 			errors.As(v, &res)
@@ -161,12 +188,189 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
+		case "badKey":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewWhereBadKeyResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
 	}
 }
 
+// EncodeQuotasResponse returns an encoder for responses returned by the
+// placement quotas endpoint.
+func EncodeQuotasResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.([]*placement.QuotaLevel)
+		enc := encoder(ctx, w)
+		body := NewQuotasResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeQuotasRequest returns a decoder for requests sent to the placement
+// quotas endpoint.
+func DecodeQuotasRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*placement.QuotasPayload, error) {
+	return func(r *http.Request) (*placement.QuotasPayload, error) {
+		var payload *placement.QuotasPayload
+		var (
+			body QuotasRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateQuotasRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+		payload = NewQuotasPayload(&body)
+
+		return payload, nil
+	}
+}
+
+// EncodeQuotasError returns an encoder for errors returned by the quotas
+// placement endpoint.
+func EncodeQuotasError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "noRoute":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewQuotasNoRouteResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "unknownOrganisation":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewQuotasUnknownOrganisationResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "noSettings":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewQuotasNoSettingsResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "badKey":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewQuotasBadKeyResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// marshalPlacementWhereAdmissionToWhereAdmissionResponseBody builds a value of
+// type *WhereAdmissionResponseBody from a value of type
+// *placement.WhereAdmission.
+func marshalPlacementWhereAdmissionToWhereAdmissionResponseBody(v *placement.WhereAdmission) *WhereAdmissionResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &WhereAdmissionResponseBody{
+		Outcome:      v.Outcome,
+		Status:       v.Status,
+		Reason:       v.Reason,
+		Detail:       v.Detail,
+		RetryAfterMs: v.RetryAfterMs,
+		Note:         v.Note,
+		Organisation: v.Organisation,
+		Rank:         v.Rank,
+		Rate:         v.Rate,
+		Burst:        v.Burst,
+		HolderRate:   v.HolderRate,
+		HolderDepth:  v.HolderDepth,
+		Left:         v.Left,
+		Answered:     v.Answered,
+	}
+	if v.Holders != nil {
+		res.Holders = make([]*WhereHolderResponseBody, len(v.Holders))
+		for i, val := range v.Holders {
+			if val == nil {
+				res.Holders[i] = nil
+				continue
+			}
+			res.Holders[i] = marshalPlacementWhereHolderToWhereHolderResponseBody(val)
+		}
+	} else {
+		res.Holders = []*WhereHolderResponseBody{}
+	}
+
+	return res
+}
+
+// marshalPlacementWhereHolderToWhereHolderResponseBody builds a value of type
+// *WhereHolderResponseBody from a value of type *placement.WhereHolder.
+func marshalPlacementWhereHolderToWhereHolderResponseBody(v *placement.WhereHolder) *WhereHolderResponseBody {
+	res := &WhereHolderResponseBody{
+		Daemon:       v.Daemon,
+		Zone:         v.Zone,
+		Answered:     v.Answered,
+		Left:         v.Left,
+		RetryAfterMs: v.RetryAfterMs,
+		Note:         v.Note,
+	}
+
+	return res
+}
+
 // marshalPlacementWhereCandidateToWhereCandidateResponseBody builds a value of
 // type *WhereCandidateResponseBody from a value of type
 // *placement.WhereCandidate.
@@ -188,3 +392,16 @@
 
 	return res
 }
+
+// marshalPlacementQuotaLevelToQuotaLevelResponse builds a value of type
+// *QuotaLevelResponse from a value of type *placement.QuotaLevel.
+func marshalPlacementQuotaLevelToQuotaLevelResponse(v *placement.QuotaLevel) *QuotaLevelResponse {
+	res := &QuotaLevelResponse{
+		Organisation: v.Organisation,
+		Left:         v.Left,
+		Holders:      v.Holders,
+		Answered:     v.Answered,
+	}
+
+	return res
+}
--- a/core/gen/http/placement/server/server.go
+++ b/core/gen/http/placement/server/server.go
@@ -20,6 +20,7 @@
 type Server struct {
 	Mounts []*MountPoint
 	Where  http.Handler
+	Quotas http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -50,8 +51,10 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"Where", "GET", "/v1/where"},
+			{"Quotas", "POST", "/v1/quotas"},
 		},
-		Where: NewWhereHandler(e.Where, mux, decoder, encoder, errhandler, formatter),
+		Where:  NewWhereHandler(e.Where, mux, decoder, encoder, errhandler, formatter),
+		Quotas: NewQuotasHandler(e.Quotas, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -61,6 +64,7 @@
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Where = m(s.Where)
+	s.Quotas = m(s.Quotas)
 }
 
 // MethodNames returns the methods served.
@@ -69,6 +73,7 @@
 // Mount configures the mux to serve the placement endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountWhereHandler(mux, h.Where)
+	MountQuotasHandler(mux, h.Quotas)
 }
 
 // Mount configures the mux to serve the placement endpoints.
@@ -128,3 +133,56 @@
 		}
 	})
 }
+
+// MountQuotasHandler configures the mux to serve the "placement" service
+// "quotas" endpoint.
+func MountQuotasHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/quotas", f)
+}
+
+// NewQuotasHandler creates a HTTP handler which loads the HTTP request and
+// calls the "placement" service "quotas" endpoint.
+func NewQuotasHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeQuotasRequest(mux, decoder)
+		encodeResponse = EncodeQuotasResponse(encoder)
+		encodeError    = EncodeQuotasError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "quotas")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "placement")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
--- a/core/gen/http/placement/server/types.go
+++ b/core/gen/http/placement/server/types.go
@@ -12,6 +12,12 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// QuotasRequestBody is the type of the "placement" service "quotas" endpoint
+// HTTP request body.
+type QuotasRequestBody struct {
+	Organisations []string `form:"organisations,omitempty" json:"organisations,omitempty" xml:"organisations,omitempty"`
+}
+
 // WhereResponseBody is the type of the "placement" service "where" endpoint
 // HTTP response body.
 type WhereResponseBody struct {
@@ -25,10 +31,16 @@
 	// Expected size of the request and its answer.
 	ExpectedBytes int64 `form:"expectedBytes" json:"expectedBytes" xml:"expectedBytes"`
 	// What would happen to the request.
-	Verdict    string                        `form:"verdict" json:"verdict" xml:"verdict"`
+	Verdict string `form:"verdict" json:"verdict" xml:"verdict"`
+	// Whether the request is admitted. Older daemons leave it out.
+	Admission  *WhereAdmissionResponseBody   `form:"admission,omitempty" json:"admission,omitempty" xml:"admission,omitempty"`
 	Candidates []*WhereCandidateResponseBody `form:"candidates" json:"candidates" xml:"candidates"`
 }
 
+// QuotasResponseBody is the type of the "placement" service "quotas" endpoint
+// HTTP response body.
+type QuotasResponseBody []*QuotaLevelResponse
+
 // WhereNoRouteResponseBody is the type of the "placement" service "where"
 // endpoint HTTP response body for the "noRoute" error.
 type WhereNoRouteResponseBody struct {
@@ -47,6 +59,24 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// WhereUnknownOrganisationResponseBody is the type of the "placement" service
+// "where" endpoint HTTP response body for the "unknownOrganisation" error.
+type WhereUnknownOrganisationResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // WhereNoSettingsResponseBody is the type of the "placement" service "where"
 // endpoint HTTP response body for the "noSettings" error.
 type WhereNoSettingsResponseBody struct {
@@ -65,6 +95,142 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// WhereBadKeyResponseBody is the type of the "placement" service "where"
+// endpoint HTTP response body for the "badKey" error.
+type WhereBadKeyResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// QuotasNoRouteResponseBody is the type of the "placement" service "quotas"
+// endpoint HTTP response body for the "noRoute" error.
+type QuotasNoRouteResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// QuotasUnknownOrganisationResponseBody is the type of the "placement" service
+// "quotas" endpoint HTTP response body for the "unknownOrganisation" error.
+type QuotasUnknownOrganisationResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// QuotasNoSettingsResponseBody is the type of the "placement" service "quotas"
+// endpoint HTTP response body for the "noSettings" error.
+type QuotasNoSettingsResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// QuotasBadKeyResponseBody is the type of the "placement" service "quotas"
+// endpoint HTTP response body for the "badKey" error.
+type QuotasBadKeyResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// WhereAdmissionResponseBody is used to define fields on response body types.
+type WhereAdmissionResponseBody struct {
+	// admitted, rejected, or unknown if a holder that can't be asked might admit
+	// the request.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// HTTP status of the rejection; 0 for none.
+	Status int `form:"status" json:"status" xml:"status"`
+	// Reason of the rejection.
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	Detail string `form:"detail" json:"detail" xml:"detail"`
+	// When a request is likely to be admitted; 0 if unknown.
+	RetryAfterMs int64 `form:"retryAfterMs" json:"retryAfterMs" xml:"retryAfterMs"`
+	// Why no organisation is known, if the request names one.
+	Note string `form:"note" json:"note" xml:"note"`
+	// Name of the organisation that sends the request, or empty.
+	Organisation string `form:"organisation" json:"organisation" xml:"organisation"`
+	// Rank of the organisation.
+	Rank int `form:"rank" json:"rank" xml:"rank"`
+	// Limit on requests a second; 0 for none.
+	Rate  float64 `form:"rate" json:"rate" xml:"rate"`
+	Burst float64 `form:"burst" json:"burst" xml:"burst"`
+	// Rate of each holder's part.
+	HolderRate float64 `form:"holderRate" json:"holderRate" xml:"holderRate"`
+	// Number of tokens that each holder can have.
+	HolderDepth float64 `form:"holderDepth" json:"holderDepth" xml:"holderDepth"`
+	// Number of tokens that the holders that answered have.
+	Left float64 `form:"left" json:"left" xml:"left"`
+	// Number of holders that answered.
+	Answered int                        `form:"answered" json:"answered" xml:"answered"`
+	Holders  []*WhereHolderResponseBody `form:"holders" json:"holders" xml:"holders"`
+}
+
+// WhereHolderResponseBody is used to define fields on response body types.
+type WhereHolderResponseBody struct {
+	Daemon string `form:"daemon" json:"daemon" xml:"daemon"`
+	Zone   string `form:"zone" json:"zone" xml:"zone"`
+	// Whether what it has is known.
+	Answered bool `form:"answered" json:"answered" xml:"answered"`
+	// Number of tokens that it has; 0 if unknown.
+	Left float64 `form:"left" json:"left" xml:"left"`
+	// When its next token is expected; 0 if it has one.
+	RetryAfterMs int64 `form:"retryAfterMs" json:"retryAfterMs" xml:"retryAfterMs"`
+	// Why what it has is unknown, or that it holds nothing.
+	Note string `form:"note" json:"note" xml:"note"`
+}
+
 // WhereCandidateResponseBody is used to define fields on response body types.
 type WhereCandidateResponseBody struct {
 	Upstream string `form:"upstream" json:"upstream" xml:"upstream"`
@@ -91,6 +257,16 @@
 	Reason string `form:"reason" json:"reason" xml:"reason"`
 }
 
+// QuotaLevelResponse is used to define fields on response body types.
+type QuotaLevelResponse struct {
+	Organisation string `form:"organisation" json:"organisation" xml:"organisation"`
+	// Number of tokens that the holders that answered have.
+	Left    float64 `form:"left" json:"left" xml:"left"`
+	Holders int     `form:"holders" json:"holders" xml:"holders"`
+	// Number of holders that answered.
+	Answered int `form:"answered" json:"answered" xml:"answered"`
+}
+
 // NewWhereResponseBody builds the HTTP response body from the result of the
 // "where" endpoint of the "placement" service.
 func NewWhereResponseBody(res *placement.WhereResult) *WhereResponseBody {
@@ -104,6 +280,9 @@
 		ExpectedBytes:   res.ExpectedBytes,
 		Verdict:         res.Verdict,
 	}
+	if res.Admission != nil {
+		body.Admission = marshalPlacementWhereAdmissionToWhereAdmissionResponseBody(res.Admission)
+	}
 	if res.Candidates != nil {
 		body.Candidates = make([]*WhereCandidateResponseBody, len(res.Candidates))
 		for i, val := range res.Candidates {
@@ -119,6 +298,20 @@
 	return body
 }
 
+// NewQuotasResponseBody builds the HTTP response body from the result of the
+// "quotas" endpoint of the "placement" service.
+func NewQuotasResponseBody(res []*placement.QuotaLevel) QuotasResponseBody {
+	body := make([]*QuotaLevelResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalPlacementQuotaLevelToQuotaLevelResponse(val)
+	}
+	return body
+}
+
 // NewWhereNoRouteResponseBody builds the HTTP response body from the result of
 // the "where" endpoint of the "placement" service.
 func NewWhereNoRouteResponseBody(res *goa.ServiceError) *WhereNoRouteResponseBody {
@@ -133,6 +326,20 @@
 	return body
 }
 
+// NewWhereUnknownOrganisationResponseBody builds the HTTP response body from
+// the result of the "where" endpoint of the "placement" service.
+func NewWhereUnknownOrganisationResponseBody(res *goa.ServiceError) *WhereUnknownOrganisationResponseBody {
+	body := &WhereUnknownOrganisationResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewWhereNoSettingsResponseBody builds the HTTP response body from the result
 // of the "where" endpoint of the "placement" service.
 func NewWhereNoSettingsResponseBody(res *goa.ServiceError) *WhereNoSettingsResponseBody {
@@ -147,8 +354,78 @@
 	return body
 }
 
+// NewWhereBadKeyResponseBody builds the HTTP response body from the result of
+// the "where" endpoint of the "placement" service.
+func NewWhereBadKeyResponseBody(res *goa.ServiceError) *WhereBadKeyResponseBody {
+	body := &WhereBadKeyResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewQuotasNoRouteResponseBody builds the HTTP response body from the result
+// of the "quotas" endpoint of the "placement" service.
+func NewQuotasNoRouteResponseBody(res *goa.ServiceError) *QuotasNoRouteResponseBody {
+	body := &QuotasNoRouteResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewQuotasUnknownOrganisationResponseBody builds the HTTP response body from
+// the result of the "quotas" endpoint of the "placement" service.
+func NewQuotasUnknownOrganisationResponseBody(res *goa.ServiceError) *QuotasUnknownOrganisationResponseBody {
+	body := &QuotasUnknownOrganisationResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewQuotasNoSettingsResponseBody builds the HTTP response body from the
+// result of the "quotas" endpoint of the "placement" service.
+func NewQuotasNoSettingsResponseBody(res *goa.ServiceError) *QuotasNoSettingsResponseBody {
+	body := &QuotasNoSettingsResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewQuotasBadKeyResponseBody builds the HTTP response body from the result of
+// the "quotas" endpoint of the "placement" service.
+func NewQuotasBadKeyResponseBody(res *goa.ServiceError) *QuotasBadKeyResponseBody {
+	body := &QuotasBadKeyResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewWherePayload builds a placement service where endpoint payload.
-func NewWherePayload(method string, host string, path string, firm string, place string, bodyBytes int, deadlineMs int) *placement.WherePayload {
+func NewWherePayload(method string, host string, path string, firm string, place string, bodyBytes int, deadlineMs int, organisation string, keyDigest string) *placement.WherePayload {
 	v := &placement.WherePayload{}
 	v.Method = method
 	v.Host = host
@@ -157,6 +434,30 @@
 	v.Place = place
 	v.BodyBytes = bodyBytes
 	v.DeadlineMs = deadlineMs
+	v.Organisation = organisation
+	v.KeyDigest = keyDigest
 
 	return v
 }
+
+// NewQuotasPayload builds a placement service quotas endpoint payload.
+func NewQuotasPayload(body *QuotasRequestBody) *placement.QuotasPayload {
+	v := &placement.QuotasPayload{}
+	v.Organisations = make([]string, len(body.Organisations))
+	for i, val := range body.Organisations {
+		v.Organisations[i] = val
+	}
+
+	return v
+}
+
+// ValidateQuotasRequestBody runs the validations defined on QuotasRequestBody
+func ValidateQuotasRequestBody(body *QuotasRequestBody) (err error) {
+	if body.Organisations == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("organisations", "body"))
+	}
+	if len(body.Organisations) > 100 {
+		err = goa.MergeErrors(err, goa.InvalidLengthError("body.organisations", body.Organisations, len(body.Organisations), 100, false))
+	}
+	return
+}
--- a/core/gen/http/settings/client/cli.go
+++ b/core/gen/http/settings/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(settingsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"c72\",\n      \"edits\": [\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         },\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         },\n         {\n            \"key\": \"oy0\",\n            \"path\": \"e8g\",\n            \"unset\": false,\n            \"value\": \"jmn\"\n         }\n      ],\n      \"expectVersion\": 6871603649262010284,\n      \"id\": \"bm\",\n      \"reason\": \"ram\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"a6b\",\n      \"edits\": [\n         {\n            \"key\": \"54o\",\n            \"path\": \"3w8\",\n            \"unset\": true,\n            \"value\": \"mld\"\n         },\n         {\n            \"key\": \"54o\",\n            \"path\": \"3w8\",\n            \"unset\": true,\n            \"value\": \"mld\"\n         }\n      ],\n      \"expectVersion\": 3128433027185074980,\n      \"id\": \"qr5\",\n      \"reason\": \"bjj\"\n   }'")
 		}
 		if body.Edits == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("edits", "body"))
--- a/core/gen/placement/client.go
+++ b/core/gen/placement/client.go
@@ -15,13 +15,15 @@
 
 // Client is the "placement" service client.
 type Client struct {
-	WhereEndpoint goa.Endpoint
+	WhereEndpoint  goa.Endpoint
+	QuotasEndpoint goa.Endpoint
 }
 
 // NewClient initializes a "placement" service client given the endpoints.
-func NewClient(where goa.Endpoint) *Client {
+func NewClient(where, quotas goa.Endpoint) *Client {
 	return &Client{
-		WhereEndpoint: where,
+		WhereEndpoint:  where,
+		QuotasEndpoint: quotas,
 	}
 }
 
@@ -29,6 +31,8 @@
 // Where may return the following errors:
 //   - "noRoute" (type *goa.ServiceError)
 //   - "noSettings" (type *goa.ServiceError)
+//   - "unknownOrganisation" (type *goa.ServiceError)
+//   - "badKey" (type *goa.ServiceError)
 //   - error: internal error
 func (c *Client) Where(ctx context.Context, p *WherePayload) (res *WhereResult, err error) {
 	var ires any
@@ -38,3 +42,19 @@
 	}
 	return ires.(*WhereResult), nil
 }
+
+// Quotas calls the "quotas" endpoint of the "placement" service.
+// Quotas may return the following errors:
+//   - "noRoute" (type *goa.ServiceError)
+//   - "noSettings" (type *goa.ServiceError)
+//   - "unknownOrganisation" (type *goa.ServiceError)
+//   - "badKey" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Quotas(ctx context.Context, p *QuotasPayload) (res []*QuotaLevel, err error) {
+	var ires any
+	ires, err = c.QuotasEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.([]*QuotaLevel), nil
+}
--- a/core/gen/placement/endpoints.go
+++ b/core/gen/placement/endpoints.go
@@ -15,19 +15,22 @@
 
 // Endpoints wraps the "placement" service endpoints.
 type Endpoints struct {
-	Where goa.Endpoint
+	Where  goa.Endpoint
+	Quotas goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "placement" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
-		Where: NewWhereEndpoint(s),
+		Where:  NewWhereEndpoint(s),
+		Quotas: NewQuotasEndpoint(s),
 	}
 }
 
 // Use applies the given middleware to all the "placement" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Where = m(e.Where)
+	e.Quotas = m(e.Quotas)
 }
 
 // NewWhereEndpoint returns an endpoint function that calls the method "where"
@@ -38,3 +41,12 @@
 		return s.Where(ctx, p)
 	}
 }
+
+// NewQuotasEndpoint returns an endpoint function that calls the method
+// "quotas" of service "placement".
+func NewQuotasEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*QuotasPayload)
+		return s.Quotas(ctx, p)
+	}
+}
--- a/core/gen/placement/service.go
+++ b/core/gen/placement/service.go
@@ -18,6 +18,10 @@
 	// Return where a request that arrives now would go, and why. Nothing is sent
 	// to an upstream.
 	Where(context.Context, *WherePayload) (res *WhereResult, err error)
+	// Return what the holders of the quotas of some organisations have. Takes
+	// nothing. Organisations without a limit, and those that the daemon doesn't
+	// know, are left out.
+	Quotas(context.Context, *QuotasPayload) (res []*QuotaLevel, err error)
 }
 
 // APIName is the name of the API as defined in the design.
@@ -34,7 +38,52 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [1]string{"where"}
+var MethodNames = [2]string{"where", "quotas"}
+
+type QuotaLevel struct {
+	Organisation string
+	// Number of tokens that the holders that answered have.
+	Left    float64
+	Holders int
+	// Number of holders that answered.
+	Answered int
+}
+
+// QuotasPayload is the payload type of the placement service quotas method.
+type QuotasPayload struct {
+	Organisations []string
+}
+
+type WhereAdmission struct {
+	// admitted, rejected, or unknown if a holder that can't be asked might admit
+	// the request.
+	Outcome string
+	// HTTP status of the rejection; 0 for none.
+	Status int
+	// Reason of the rejection.
+	Reason string
+	Detail string
+	// When a request is likely to be admitted; 0 if unknown.
+	RetryAfterMs int64
+	// Why no organisation is known, if the request names one.
+	Note string
+	// Name of the organisation that sends the request, or empty.
+	Organisation string
+	// Rank of the organisation.
+	Rank int
+	// Limit on requests a second; 0 for none.
+	Rate  float64
+	Burst float64
+	// Rate of each holder's part.
+	HolderRate float64
+	// Number of tokens that each holder can have.
+	HolderDepth float64
+	// Number of tokens that the holders that answered have.
+	Left float64
+	// Number of holders that answered.
+	Answered int
+	Holders  []*WhereHolder
+}
 
 type WhereCandidate struct {
 	Upstream string
@@ -61,6 +110,19 @@
 	Reason string
 }
 
+type WhereHolder struct {
+	Daemon string
+	Zone   string
+	// Whether what it has is known.
+	Answered bool
+	// Number of tokens that it has; 0 if unknown.
+	Left float64
+	// When its next token is expected; 0 if it has one.
+	RetryAfterMs int64
+	// Why what it has is unknown, or that it holds nothing.
+	Note string
+}
+
 // WherePayload is the payload type of the placement service where method.
 type WherePayload struct {
 	Method string
@@ -72,6 +134,10 @@
 	BodyBytes int
 	// Deadline that the caller sets; 0 for none.
 	DeadlineMs int
+	// Name of the organisation that sends the request with one of its keys.
+	Organisation string
+	// Digest of the key that is sent, as in the settings.
+	KeyDigest string
 }
 
 // WhereResult is the result type of the placement service where method.
@@ -86,7 +152,9 @@
 	// Expected size of the request and its answer.
 	ExpectedBytes int64
 	// What would happen to the request.
-	Verdict    string
+	Verdict string
+	// Whether the request is admitted. Older daemons leave it out.
+	Admission  *WhereAdmission
 	Candidates []*WhereCandidate
 }
 
@@ -99,3 +167,13 @@
 func MakeNoSettings(err error) *goa.ServiceError {
 	return goa.NewServiceError(err, "noSettings", false, false, false)
 }
+
+// MakeUnknownOrganisation builds a goa.ServiceError from an error.
+func MakeUnknownOrganisation(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "unknownOrganisation", false, false, false)
+}
+
+// MakeBadKey builds a goa.ServiceError from an error.
+func MakeBadKey(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "badKey", false, false, false)
+}
--- a/core/settings/organisation.go
+++ b/core/settings/organisation.go
@@ -79,13 +79,17 @@
 	return list
 }
 
-// ByKey returns the organisation with the given key, or nil. The comparison takes the
-// same time wherever a digest differs.
+// ByKey returns the organisation with the given key, or nil.
 func (or *Organisations) ByKey(key string) *Organisation {
 	if key == "" || len(key) > MaxKeyBytes {
 		return nil
 	}
-	digest := NewKeyDigest(key)
+	return or.ByDigest(NewKeyDigest(key))
+}
+
+// ByDigest returns the organisation with the key of the given digest, or nil. The
+// comparison takes the same time wherever a digest differs.
+func (or *Organisations) ByDigest(digest KeyDigest) *Organisation {
 	found := or.byDigest[digest]
 	if found == nil {
 		return nil
--- a/standin/internal/e2e/organisations_test.go
+++ b/standin/internal/e2e/organisations_test.go
@@ -47,6 +47,15 @@
 	return fl
 }
 
+// setEnv lets the commands of a scenario use the fleet.
+func (fl *fleet) setEnv(env *testscript.Env) {
+	env.Setenv("PATH", fl.bin+string(filepath.ListSeparator)+env.Getenv("PATH"))
+	env.Setenv("CACTUS_KEEPERS", fl.keeperAddresses(7001))
+	env.Setenv("CACTUS_DAEMONS", fl.daemonIP(1)+":7101,"+fl.daemonIP(2)+":7101")
+	env.Setenv("CACTUS_TOKEN_FILE", fl.path("keys/operator.token"))
+	env.Setenv("CALLERS", strings.Join(fl.callerAddresses(), ","))
+}
+
 // TestKeyRotation runs the scenario in testdata/scripts: the key of an organisation is
 // replaced while its callers send requests, which must cost none of them.
 func TestKeyRotation(t *testing.T) {
@@ -54,11 +63,7 @@
 	testscript.Run(t, testscript.Params{
 		Files: []string{"testdata/scripts/rotate_key.txtar"}, RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			env.Setenv("PATH", fl.bin+string(filepath.ListSeparator)+env.Getenv("PATH"))
-			env.Setenv("CACTUS_KEEPERS", fl.keeperAddresses(7001))
-			env.Setenv("CACTUS_DAEMONS", fl.daemonIP(1)+":7101,"+fl.daemonIP(2)+":7101")
-			env.Setenv("CACTUS_TOKEN_FILE", fl.path("keys/operator.token"))
-			env.Setenv("CALLERS", strings.Join(fl.callerAddresses(), ","))
+			fl.setEnv(env)
 			return nil
 		},
 	})
@@ -162,6 +167,16 @@
 	ou.ctl("status")
 	ou.ctl("upstreams")
 	ou.ctl("organisations", "list")
+	ou.ctl("organisations", "list", "acme")
+	for name, key := range map[string]string{"third": second[:11] + "-third", "unknown": keyMark + "-unknown", "long": strings.Repeat(keyMark, 30)} {
+		fl.writeFile(name+".key", key+"\n")
+		t.Setenv("TEST_KEY_"+name, key)
+		ou.ctl("where", "GET", "/look", "--key-file", fl.path(name+".key"))
+		ou.ctl("where", "GET", "/look", "--key-env", "TEST_KEY_"+name)
+		ou.texts["where with the key in place of a file, "+name] = fl.ctlOutput("where", "GET", "/look", "--key-file", key)
+		ou.texts["where with the key in place of a variable, "+name] = fl.ctlOutput("where", "GET", "/look", "--key-env", key)
+	}
+	ou.ctl("where", "GET", "/look", "--organisation", "acme")
 	for number := 1; number <= 3; number++ {
 		for _, address := range []string{fl.keeperIP(number) + ":7001", fl.daemonIP(number) + ":7101"} {
 			for _, path := range []string{"/metrics", "/v1/metrics", "/v1/dump", "/v1/status", "/v1/settings/tree", "/v1/settings/log?limit=100", "/v1/settings/explain?path=acme", "/v1/fleet/members"} {
@@ -188,4 +203,6 @@
 	is.True(strings.Contains(ou.texts["settings export"], "keyDigests = ")) // The organisation is there.
 	is.True(strings.Contains(ou.texts["settings diff "+fl.path("second.ini")], "+ keys = (secret)"))
 	is.True(strings.Contains(ou.texts["organisations list"], "acme"))
+	is.True(strings.Contains(ou.texts["where GET /look --key-file "+fl.path("third.key")], "organisation acme, rank "))
+	is.True(strings.Contains(ou.texts["where GET /look --key-env TEST_KEY_unknown"], "no organisation has this key"))
 }
--- a/standin/internal/e2e/where_test.go
+++ b/standin/internal/e2e/where_test.go
@@ -2,13 +2,29 @@
 
 import (
 	"encoding/json"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// TestWhereOfOrganisations runs the scenario in testdata/scripts: what operators see of an
+// organisation and its quota agrees with what its callers get.
+func TestWhereOfOrganisations(t *testing.T) {
+	fl := newOrganisationFleet(t)
+	testscript.Run(t, testscript.Params{
+		Files: []string{"testdata/scripts/where_organisation.txtar"}, RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			fl.setEnv(env)
+			env.Setenv("ACME_KEY", "first-key")
+			return nil
+		},
+	})
+}
+
 // TestWhereExplainsPlacement asks running daemons where a request would go, with wait
 // estimates and without. It guards against an explanation that can't be had from outside,
 // and against one that sends the request.
