test(quota): the stopped holder no longer answers

TestStoppedHolder closed the listener and the idle connections of a holder. Links take over their connections, which httptest doesn't close then, so the holder went on to answer calls, and the test passed without one that had stopped. It was seen in TestHoldersThatCannotBeAsked, where a holder that was stopped like this still answered.

--- a/cactusd/internal/quota/quota_test.go
+++ b/cactusd/internal/quota/quota_test.go
@@ -169,8 +169,8 @@
 	fl := startFleet(t, 3, 0)
 	org := &settings.Organisation{Name: "acme", Rate: 60, Burst: 10}
 	time.Sleep(time.Second)
-	fl.servers[2].CloseClientConnections()
 	fl.servers[2].Close()
+	fl.links[2].Close() // The server doesn't close the links, which took over their connections.
 	fl.quotas = fl.quotas[:2]
 	admitted, slowest := takeAll(fl, org, 100)
 	is.True(admitted >= 20)
