--- a/standin/internal/e2e/where_test.go
+++ b/standin/internal/e2e/where_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
