fix(ingress): where decides before it asks the holders what they have

A query with a short deadline could be shown as rejected with 503, or as too late at every upstream, because up to 4 s were spent on the levels of the holders before the decision. A request doesn't spend that time, so the levels come last.

TestSlowHoldersDoNotDelayTheDecision and TestWhereShowsTheQuota failed before the change.

--- a/cactusctl/internal/cmd/where.go
+++ b/cactusctl/internal/cmd/where.go
@@ -47,6 +47,9 @@
 			if err != nil {
 				return &process.ExitError{Code: process.ExitUsage, Err: fmt.Errorf("where: %w", err)}
 			}
+			if com.Flags().Changed("organisation") && organisation == "" {
+				return &process.ExitError{Code: process.ExitUsage, Err: errors.New("where: --organisation is empty")}
+			}
 			payload.Firm, payload.Place, payload.BodyBytes, payload.Organisation = firm, place, bodyBytes, organisation
 			if payload.KeyDigest, err = readKeyDigest(com, keyFile, keyEnv); err != nil {
 				return &process.ExitError{Code: process.ExitUsage, Err: fmt.Errorf("where: %w", err)}
--- a/cactusd/internal/ingress/where.go
+++ b/cactusd/internal/ingress/where.go
@@ -117,9 +117,15 @@
 	}
 	if where.Admission.Rejection != nil && !where.Admission.Uncertain {
 		in.rejectWhere(req, where)
-		return where, nil
+	} else {
+		in.locate(ctx, req, where)
+	}
+	if where.Admission.Uncertain {
+		where.Verdict = "if it is admitted: " + where.Verdict
+	}
+	if in.hasLimit(req) { // Last, as a request doesn't spend the time on it.
+		where.Admission.Quota = in.opts.Quota.Levels(ctx, []*settings.Organisation{req.organisation})[0]
 	}
-	in.locate(ctx, req, where)
 	return where, nil
 }
 
@@ -161,9 +167,6 @@
 	default:
 		adm.Note = "no organisation has a key, so that requests are admitted without one"
 	}
-	if in.hasLimit(req) {
-		adm.Quota = in.opts.Quota.Levels(ctx, []*settings.Organisation{req.organisation})[0]
-	}
 	if rejection == nil && in.hasLimit(req) {
 		ctx, cancel := context.WithDeadline(ctx, req.deadline)
 		defer cancel()
--- a/cactusd/internal/ingress/where_organisation_test.go
+++ b/cactusd/internal/ingress/where_organisation_test.go
@@ -110,13 +110,30 @@
 	is.NoErr(err)
 	is.Equal(where.Admission.Outcome, "unknown")
 	is.Equal(where.Admission.Status, 429)
-	is.True(strings.HasPrefix(where.Verdict, "goes to"))
+	is.True(strings.HasPrefix(where.Verdict, "if it is admitted: goes to"))
 	levels, err := service.Quotas(context.Background(), &genplacement.QuotasPayload{Organisations: []string{"other", "nobody", "acme"}})
 	is.NoErr(err)
 	is.Equal(len(levels), 1) // The other one has no limit.
 	is.Equal(*levels[0], genplacement.QuotaLevel{Organisation: "acme", Left: 2.5, Holders: 2, Answered: 1})
 }
 
+// TestSlowHoldersDoNotDelayTheDecision guards against a request that is shown as rejected, or as
+// too late at all upstreams, because the holders of its quota took longer than its deadline
+// to say what they have: a request doesn't wait for that.
+func TestSlowHoldersDoNotDelayTheDecision(t *testing.T) {
+	is := is.New(t)
+	runner := newCapturingRunner()
+	slow := &fakeQuota{slowness: 700 * time.Millisecond}
+	in := newPlatformIngress(t, &runner.estimatingRunner, newReplica(t, newOrganisationSettings()), withOrganisationHeaders, func(opts *ingress.Options) { opts.Quota = slow })
+	query := whereQuery("/cut/7")
+	query.Organisation, query.Deadline = "acme", 600*time.Millisecond
+	where, err := in.Where(context.Background(), query)
+	is.NoErr(err)
+	is.Equal(where.Admission.Rejection, nil)
+	is.True(strings.HasPrefix(where.Verdict, "goes to"))
+	is.Equal(len(where.Admission.Quota.Holders), 2)
+}
+
 // TestWhereNamesWhatIsWrongWithTheSender checks the errors for unknown organisations, keys
 // and missing settings. It guards against a name or key that is ignored, and against an
 // error that repeats a key that was sent in place of its digest.
