--- a/cactusd/internal/ingress/organisation_test.go
+++ b/cactusd/internal/ingress/organisation_test.go
@@ -174,9 +174,30 @@
 
 // fakeQuota returns the same verdict for each request and counts what is taken.
 type fakeQuota struct {
-	verdict quota.Verdict
-	taken   int
-	names   []string
+	verdict   quota.Verdict
+	uncertain bool
+	// slowness is how long Levels takes.
+	slowness time.Duration
+	taken    int
+	names    []string
+}
+
+func (fa *fakeQuota) Preview(ctx context.Context, _ *settings.Organisation) quota.Preview {
+	if ctx.Err() != nil {
+		return quota.Preview{Verdict: quota.Verdict{Outcome: quota.Unavailable}}
+	}
+	return quota.Preview{Verdict: fa.verdict, Uncertain: fa.uncertain}
+}
+
+func (fa *fakeQuota) Levels(_ context.Context, orgs []*settings.Organisation) []quota.Level {
+	time.Sleep(fa.slowness)
+	levels := make([]quota.Level, 0, len(orgs))
+	for _, org := range orgs {
+		levels = append(levels, quota.Level{Organisation: org.Name, PerSecond: 5, Depth: 9, Holders: []quota.HolderLevel{
+			{Daemon: "d0", Zone: "z", Answered: true, Left: 2.5}, {Daemon: "d1", Zone: "y", Note: "no answer in time"},
+		}})
+	}
+	return levels
 }
 
 func (fa *fakeQuota) Take(_ context.Context, org *settings.Organisation) quota.Verdict {
