fix(process): a shutdown waits until the accept queue is empty

What callers saw: on a busy machine, a graceful shutdown reset connections that were established and not accepted yet.

Cause: the listener was closed 50 ms after it refused new connections, whether or not the goroutine that accepts had run. The kernel resets what is left in the accept queue of a closed listener.

Ruled out: half-open handshakes (the number of resets equals the length of the queue), and net/http's own shutdown (the connections were never accepted).

Change: the close waits for the grace of handshakes and then until the kernel reports an empty accept queue, within the context of the shutdown, or until the server has ended. A handshake that takes longer than the grace (a lost segment) is still reset; the caller's kernel sends the SYN again after a second.

TestShutdownAnswersQueuedConnections delays the goroutine that accepts for 200 ms and fails on the old code (connection reset).

--- a/core/process/listener_linux.go
+++ b/core/process/listener_linux.go
@@ -31,3 +31,23 @@
 	}
 	return nil
 }
+
+// acceptQueueLength returns the number of established connections that wait to be
+// accepted. For a listening socket, the kernel returns it in place of the number of
+// unacknowledged segments.
+func acceptQueueLength(lis *net.TCPListener) (int, error) {
+	raw, err := lis.SyscallConn()
+	if err != nil {
+		return 0, fmt.Errorf("length of the accept queue: %w", err)
+	}
+	var info *unix.TCPInfo
+	var getErr error
+	err = raw.Control(func(fd uintptr) { info, getErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil {
+		return 0, fmt.Errorf("length of the accept queue: %w", err)
+	}
+	if getErr != nil {
+		return 0, fmt.Errorf("length of the accept queue: %w", getErr)
+	}
+	return int(info.Unacked), nil
+}
--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -178,6 +178,115 @@
 	}
 }
 
+// TestShutdownAnswersQueuedConnections shuts down while the goroutine that accepts is
+// delayed for longer than acceptGrace, as on a busy machine. The connections that wait in
+// the accept queue must be accepted and answered before the listener is closed.
+func TestShutdownAnswersQueuedConnections(t *testing.T) {
+	is := is.New(t)
+	srv, proceed := newServerThatStopsAccepting(t, "127.77.0.203:18080")
+	const clients = 6
+	responses := make(chan error, clients)
+	for range clients {
+		go func() { responses <- sendRequest(srv.address) }()
+	}
+	waitQueued(t, srv.listener, clients-1) // The first one has been taken from the queue.
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- srv.Shutdown(ctx) }()
+	time.Sleep(4 * acceptGrace)
+	is.Equal(sendRequest(srv.address), errRefused)
+	proceed()
+	for range clients {
+		is.NoErr(<-responses)
+	}
+	is.NoErr(<-stopped)
+}
+
+// TestCloseListenerEndsWithItsContext closes a listener with a queued connection that is
+// never accepted, as if the process had no file descriptors left. That must not delay the
+// shutdown beyond its context, or at all once the server has ended.
+func TestCloseListenerEndsWithItsContext(t *testing.T) {
+	ended := make(chan struct{})
+	close(ended)
+	cases := []struct {
+		name    string
+		timeout time.Duration
+		served  chan struct{}
+	}{
+		{"the context ends", 4 * acceptGrace, make(chan struct{})},
+		{"the server has ended", time.Minute, ended},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.77.0.204:18080")
+			is.NoErr(err)
+			lis := listener.(*net.TCPListener)
+			defer func() { _ = lis.Close() }()
+			con, err := net.Dial("tcp", lis.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = con.Close() }()
+			waitQueued(t, lis, 1)
+			ctx, cancel := context.WithTimeout(context.Background(), tc.timeout)
+			defer cancel()
+			closed := make(chan struct{})
+			go func() {
+				closeListener(ctx, lis, tc.served)
+				close(closed)
+			}()
+			select {
+			case <-closed:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the listener is still open after 10s")
+			}
+		})
+	}
+}
+
+// newServerThatStopsAccepting starts a server whose accepting goroutine waits with its
+// first connection until the returned function is called.
+func newServerThatStopsAccepting(t *testing.T, address string) (*Server, func()) {
+	t.Helper()
+	srv := NewServer(address, http.HandlerFunc(writeCompleteBody), nil)
+	release := make(chan struct{})
+	proceed := sync.OnceFunc(func() { close(release) })
+	track := srv.http.ConnState
+	srv.http.ConnState = func(con net.Conn, state http.ConnState) {
+		track(con, state)
+		if state == http.StateNew {
+			<-release
+		}
+	}
+	if err := srv.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		proceed()
+		srv.Close()
+	})
+	return srv, proceed
+}
+
+// waitQueued waits until a number of connections are in the accept queue.
+func waitQueued(t *testing.T, lis *net.TCPListener, want int) {
+	t.Helper()
+	end := time.Now().Add(10 * time.Second)
+	for {
+		length, err := acceptQueueLength(lis)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if length == want {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are queued, want %d", length, want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestDrainEndsConnections sends a request before and after Drain. Only the response to
 // the second one must end its connection.
 func TestDrainEndsConnections(t *testing.T) {
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -227,7 +227,7 @@
 func (se *Server) Shutdown(ctx context.Context) error {
 	se.Drain()
 	if se.listener != nil {
-		closeListener(se.listener)
+		closeListener(ctx, se.listener, se.served)
 		// Every accepted connection is known only once Serve has returned.
 		select {
 		case <-se.served:
