feat(keeper): the seeds agree on the first members of the group

What callers saw: if the first seed lost its disk during the first start of the system, or ended before it had written its identity, no group was bootstrapped and no config was ever accepted.

Cause: only the first seed may bootstrap, because only its disk shows that it never did. A keeper with another disk knows nothing. Besides, the group grew from one member, so that it ended with its first members' disks.

Change: the seeds whose disks date from the first start agree on all members of the full size by single-decree Paxos, in core/reconfig. Promises and acceptances are on disk before they are answered. With too few seeds for majorities, every seed must respond whose disk isn't known to be lost. Data folders of older versions load; a keeper with one doesn't take part, and a first start with a keeper of an older version goes the older way.

Ruled out: a majority of three seeds, of which two may lose their disks (two groups in the model), and counting a lost disk as an acceptance beside majorities (a higher ballot may have its promise).

--- a/cactuskeeper/keeper/group.go
+++ b/cactuskeeper/keeper/group.go
@@ -55,9 +55,11 @@
 
 // joinRequest returns the join request that this keeper sends to the others.
 func (ke *Keeper) joinRequest() reconfig.JoinRequest {
+	hasNoGroup := len(ke.node.Config().Members) == 0
 	return reconfig.JoinRequest{
 		Member:       consensus.Member{ID: ke.ident.ID, PeerAddress: ke.opts.PeerAddress, OperatorAddress: ke.opts.OperatorAddress},
-		HasNoGroup:   len(ke.node.Config().Members) == 0,
+		HasNoGroup:   hasNoGroup && !ke.ident.Agrees,
+		Agrees:       hasNoGroup && ke.ident.Agrees,
 		IsFirstStart: len(ke.ident.FirstSeeds) > 0,
 	}
 }
@@ -68,14 +70,21 @@
 	case ke.tasks <- func(now time.Time) {
 		ke.group.joinRequests[req.Member.ID] = reconfig.ReceivedJoinRequest{JoinRequest: req, ReceivedAt: now}
 		delete(ke.group.stopping, req.Member.ID) // It has started again.
+		if ke.diskErr != nil {
+			return
+		}
+		ke.leaveAgreement(req)
+		if req.HasNoGroup || req.Agrees {
+			ke.sendGroup(req.Member)
+		}
 	}:
 	default: // The queue is full; the keeper sends its join request again.
 	}
 }
 
 // reconfigure sends join requests while this keeper is not a voter or has no
-// leader. A keeper that is not the leader bootstraps the group if
-// reconfig.ShouldBootstrap selects it; the leader proposes the next membership
+// leader. A keeper that is not the leader proposes the first members if there is no
+// group, or bootstraps it alone if reconfig.ShouldBootstrap selects it; the leader proposes the next membership
 // change.
 func (ke *Keeper) reconfigure(now time.Time) {
 	if ke.group.opts.Size == 0 || now.Sub(ke.group.reconfiguredAt) < reconfigureInterval {
@@ -89,7 +98,11 @@
 	}
 	if ke.node.Role() != consensus.RoleLeader {
 		ke.group.leaderSince = now
-		ke.bootstrap(now)
+		if ke.ident.Agrees {
+			ke.propose(now)
+		} else {
+			ke.bootstrap(now)
+		}
 		return
 	}
 	ke.repair(now)
--- a/cactuskeeper/keeper/identity.go
+++ b/cactuskeeper/keeper/identity.go
@@ -25,6 +25,10 @@
 	// FirstSeeds holds the seeds of the first start of the whole deployment. It is empty
 	// if the data folder was created later.
 	FirstSeeds []string `codec:"firstSeeds,omitempty"`
+	// Agrees reports that the keeper takes part in the agreement on the first members. It
+	// is false if an older version created the data folder: the first seed may have
+	// bootstrapped a group alone then.
+	Agrees bool `codec:"agrees,omitempty"`
 }
 
 // ErrInitialised reports that a data folder is not empty.
@@ -55,7 +59,7 @@
 	if _, err := ReadIdentity(disk); !errors.Is(err, ErrNotInitialised) {
 		return err
 	}
-	ident := Identity{Nonce: auth.NewToken(), FirstSeeds: firstSeeds}
+	ident := Identity{Nonce: auth.NewToken(), FirstSeeds: firstSeeds, Agrees: true}
 	ident.ID = fmt.Sprintf("%s-%s", name, ident.Nonce[:nonceCharsInID])
 	return storeIdentity(disk, ident)
 }
--- a/cactuskeeper/keeper/keeper.go
+++ b/cactuskeeper/keeper/keeper.go
@@ -100,6 +100,7 @@
 	lastRole       consensus.Role
 	identitySentAt time.Time
 	group          group
+	agreement      agreement
 	diskErr        error
 	diskFailedAt   time.Time
 
@@ -142,7 +143,12 @@
 		return nil, fmt.Errorf("open keeper: %w", err)
 	}
 	public := opts.SigningKey.Public().(ed25519.PublicKey)
+	agr, err := newAgreement(ident, opts.Group, opts.Disk)
+	if err != nil {
+		return nil, fmt.Errorf("open keeper: %w", err)
+	}
 	ke := &Keeper{
+		agreement:    agr,
 		opts:         opts,
 		ident:        ident,
 		replica:      settingsync.NewReplica(func() []ed25519.PublicKey { return []ed25519.PublicKey{public} }),
@@ -164,6 +170,9 @@
 	link.HandleNotice(opts.Mux, methodMessage, ke.receive)
 	link.HandleNotice(opts.Mux, methodJoinRequest, ke.receiveJoinRequest)
 	link.Handle(opts.Mux, methodMayStop, ke.handleMayStop)
+	link.Handle(opts.Mux, methodPrepare, ke.handlePrepare)
+	link.Handle(opts.Mux, methodAccept, ke.handleAccept)
+	link.HandleNotice(opts.Mux, methodGroup, ke.receiveGroup)
 	settingsync.Serve(opts.Mux, ke.replica, ke.fresh)
 	link.Handle(opts.Mux, settingsync.MethodNewest, ke.newestVersion)
 	return ke, nil
--- a/cactuskeeper/server/server_test.go
+++ b/cactuskeeper/server/server_test.go
@@ -17,6 +17,7 @@
 	"cactusstream.example/cactuskeeper/keeper"
 	"cactusstream.example/cactuskeeper/server"
 	"cactusstream.example/core/auth"
+	"cactusstream.example/core/codec"
 	"cactusstream.example/core/consensus"
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/process"
@@ -333,6 +334,9 @@
 		{"no seed", []int{4}, false},
 		{"all", []int{0, 1, 2, 3, 4}, false},
 		{"two without their disks", []int{2, 3}, true},
+		{"the first seed without its disk", []int{0}, true},
+		{"the first seed and another one without their disks", []int{0, 1}, true},
+		{"the first seed and no seed without their disks", []int{0, 4}, true},
 	}
 	for _, tc := range cases {
 		for _, after := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
@@ -359,6 +363,70 @@
 	}
 }
 
+// TestGroupFormsWithoutIdentitiesOfTheFirstStart starts some keepers as the platform does if
+// they ended during the first start before they had written their identities. If it was the
+// first seed, another one must bootstrap the group.
+func TestGroupFormsWithoutIdentitiesOfTheFirstStart(t *testing.T) {
+	for _, without := range [][]int{{0}, {0, 1}, {0, 3}, {1, 2}} {
+		t.Run(fmt.Sprint(without), func(t *testing.T) {
+			gr := newGroup(t, groupSize)
+			for index := range groupSize {
+				gr.start(index, !slices.Contains(without, index))
+			}
+			gr.until("complete group", func() bool { return gr.voters() == groupSize })
+			gr.change(1, 0)
+		})
+	}
+}
+
+// oldIdentity is the identity that the version before the agreement stores.
+type oldIdentity struct {
+	ID         string           `codec:"id"`
+	Nonce      string           `codec:"nonce"`
+	Initial    consensus.Config `codec:"initial"`
+	FirstSeeds []string         `codec:"firstSeeds,omitempty"`
+}
+
+// storeOldIdentity writes the data folder of a keeper that an older version started for the
+// first time.
+func (gr *group) storeOldIdentity(index int) {
+	gr.t.Helper()
+	disk, err := wal.OpenFolder(gr.folder(index))
+	if err != nil {
+		gr.t.Fatal(err)
+	}
+	data, err := codec.Marshal(oldIdentity{ID: fmt.Sprint("old-", index), Nonce: auth.NewToken(), FirstSeeds: gr.seeds})
+	if err != nil {
+		gr.t.Fatal(err)
+	}
+	if err := disk.Replace("identity", data); err != nil {
+		gr.t.Fatal(err)
+	}
+}
+
+// TestGroupFormsWithOlderVersions starts keepers with data folders of the version before the
+// agreement. They take no part in it and behave as that version does, and the group must form
+// all the same.
+func TestGroupFormsWithOlderVersions(t *testing.T) {
+	for _, old := range [][]int{{0}, {1}, {4}, {1, 3}, {0, 1, 2, 3, 4}} {
+		t.Run(fmt.Sprint(old), func(t *testing.T) {
+			is := is.New(t)
+			gr := newGroup(t, groupSize)
+			for _, index := range old {
+				gr.storeOldIdentity(index)
+			}
+			for index := range groupSize {
+				gr.start(index, true)
+			}
+			gr.until("complete group", func() bool { return gr.voters() == groupSize })
+			gr.change(1, 0)
+			for _, index := range old {
+				is.Equal(gr.nodes[index].server.Keeper().ID(), fmt.Sprint("old-", index))
+			}
+		})
+	}
+}
+
 // TestNoGroupForms checks that no group is bootstrapped with fewer keepers than
 // the group size, or when this is not the first start of the deployment.
 func TestNoGroupForms(t *testing.T) {
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -137,16 +137,26 @@
 // Term returns the current term.
 func (no *Node) Term() uint64 { return no.hardState.Term }
 
-// Bootstrap sets the first membership of a group on a node with an empty log and no
-// membership, and makes the node's election timeout expire at once. The caller must have
-// persisted the membership before. On any other node, Bootstrap does nothing.
+// Bootstrap sets the first membership of a group on a node that knows none, and makes the
+// node's election timeout expire at once. The caller must have persisted the membership
+// before. On any other node, Bootstrap does nothing.
 func (no *Node) Bootstrap(now time.Time, group Config) {
-	if len(no.Config().Members) > 0 || no.log.lastIndex() > 0 {
-		return
+	if no.Adopt(now, group) {
+		no.electionDeadline = now
+	}
+}
+
+// Adopt sets the first membership like Bootstrap, on a node that another one may have sent
+// entries to already. The node lets the others begin the first election. Adopt reports
+// whether the membership was set.
+func (no *Node) Adopt(now time.Time, group Config) bool {
+	if len(no.Config().Members) > 0 || no.snap.Index > 0 {
+		return false
 	}
 	no.configs = []indexedConfig{{config: group}}
 	no.snap.Config = group
-	no.electionDeadline = now
+	no.resetElectionTimeout(now)
+	return true
 }
 
 // LogLength returns the number of entries after the snapshot.
--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -2,12 +2,14 @@
 // group, one membership change at a time and without an operator. Keepers are the
 // servers that replicate the settings by consensus.
 //
-// A group is bootstrapped once: by the keeper whose address sorted first among the
-// seeds on the first start of the whole system, when enough others without state have
-// sent join requests. Its disk shows that it took part in that start and never had a
-// group, so that there is no other one; the others may have restarted meanwhile. Every other keeper, whenever it starts and whatever its
-// disk holds, requests to join, is added as a learner, and becomes a voter once it
-// has caught up. The ID of a keeper is generated with its data folder, so a keeper
+// A group is bootstrapped once, with its full size: the seeds of the first start of the
+// whole system whose disks date from that start agree on the members (Electorate), so that
+// the loss of as many disks as the group tolerates prevents neither the bootstrap nor the
+// group, and no second group is bootstrapped whichever disks are lost. If a keeper of an
+// older version takes part, the keeper whose address sorts first among the seeds bootstraps
+// a group of itself (ShouldBootstrap). Every other keeper, whenever it starts and whatever
+// its disk holds, requests to join, is added as a learner, and becomes a voter once it has
+// caught up. The ID of a keeper is generated with its data folder, so a keeper
 // that lost its disk joins as a new member and can't vote in place of the old one,
 // whose votes it no longer knows.
 //
@@ -45,9 +47,13 @@
 // leader.
 type JoinRequest struct {
 	Member consensus.Member `codec:"member"`
-	// HasNoGroup reports that the keeper knows of no group, and IsFirstStart that its
-	// disk dates from the first start of the whole system.
-	HasNoGroup   bool `codec:"blank"`
+	// HasNoGroup reports that the keeper knows of no group and lets the first seed bootstrap
+	// one alone, as versions without the agreement do. Agrees reports that it knows of no
+	// group and takes part in the agreement. At most one of them is set: older versions
+	// bootstrap no group while a keeper without HasNoGroup waits.
+	HasNoGroup bool `codec:"blank"`
+	Agrees     bool `codec:"agrees,omitempty"`
+	// IsFirstStart reports that its disk dates from the first start of the whole system.
 	IsFirstStart bool `codec:"first"`
 }
 
@@ -109,7 +115,8 @@
 	Reason string
 }
 
-// ShouldBootstrap reports whether a keeper bootstraps the group: its disk dates from
+// ShouldBootstrap reports whether a keeper that doesn't take part in the agreement
+// bootstraps the group alone: its disk dates from
 // the first start of the system and has no group, its address sorted first among the
 // seeds of that start, and join requests of other keepers without state bring the group
 // to its full size, so that it can tolerate the planned number of failures. It returns
