fix(keeper): a keeper with a new disk replaces its last join request

What callers saw: after the loss of disks, the group took up to two seconds longer to be whole again, in which it tolerates fewer losses.

Cause: a keeper that had no leader just before it lost its disk had sent a join request under its old ID. It counted as recent for two seconds beside the one under the new ID, so that the leader removed each of the two as a predecessor of the other and added it again, about every 60 ms.

TestKeeperWithNewDiskReplacesItsRequest fails before: add new, remove old, add old, remove new, and so on.

Change: only the newest join request from an address counts.

--- a/cactuskeeper/keeper/agreement.go
+++ b/cactuskeeper/keeper/agreement.go
@@ -143,7 +143,7 @@
 	if ag.isProposing || now.Before(ag.nextProposal) || ke.leaving.Load() {
 		return
 	}
-	requests := ke.receivedJoinRequests()
+	requests := ke.group.joinRequests.List()
 	config, ok := ag.electorate.Propose(now, ke.joinRequest(), requests)
 	if !ok {
 		return
--- a/cactuskeeper/keeper/group.go
+++ b/cactuskeeper/keeper/group.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -38,13 +37,13 @@
 var ErrBootstrapping = errors.New("keeper: the group is bootstrapping and has too few voters")
 
 func newGroup(opts GroupOptions) group {
-	return group{opts: opts, joinRequests: make(map[string]reconfig.ReceivedJoinRequest), stopping: make(map[string]time.Time)}
+	return group{opts: opts, joinRequests: make(reconfig.JoinRequests), stopping: make(map[string]time.Time)}
 }
 
 // group is the state of automatic discovery and reconfiguration. Run owns it.
 type group struct {
 	opts         GroupOptions
-	joinRequests map[string]reconfig.ReceivedJoinRequest
+	joinRequests reconfig.JoinRequests
 	// stopping holds the keepers that shut down. A keeper is in at most one of
 	// joinRequests and stopping.
 	stopping map[string]time.Time
@@ -68,7 +67,7 @@
 func (ke *Keeper) receiveJoinRequest(_ string, req reconfig.JoinRequest) {
 	select {
 	case ke.tasks <- func(now time.Time) {
-		ke.group.joinRequests[req.Member.ID] = reconfig.ReceivedJoinRequest{JoinRequest: req, ReceivedAt: now}
+		ke.group.joinRequests.Add(reconfig.ReceivedJoinRequest{JoinRequest: req, ReceivedAt: now})
 		delete(ke.group.stopping, req.Member.ID) // It has started again.
 		if ke.diskErr != nil {
 			return
@@ -132,7 +131,7 @@
 // sent join requests.
 func (ke *Keeper) bootstrap(now time.Time) {
 	req := ke.joinRequest()
-	if !reconfig.ShouldBootstrap(req, ke.ident.FirstSeeds, ke.receivedJoinRequests(), ke.group.opts.Size) {
+	if !reconfig.ShouldBootstrap(req, ke.ident.FirstSeeds, ke.group.joinRequests.List(), ke.group.opts.Size) {
 		return
 	}
 	mem := req.Member
@@ -175,7 +174,7 @@
 func (ke *Keeper) groupView(now time.Time) reconfig.View {
 	view := reconfig.View{
 		Now: now, Self: ke.ident.ID, Config: ke.node.Config(), IsConfigCommitted: ke.node.IsConfigCommitted(),
-		JoinRequests: ke.receivedJoinRequests(), Stopping: ke.group.stopping, LeaderSince: ke.group.leaderSince,
+		JoinRequests: ke.group.joinRequests.List(), Stopping: ke.group.stopping, LeaderSince: ke.group.leaderSince,
 		Contacts: make(map[string]reconfig.Contact), Size: ke.group.opts.Size,
 	}
 	for _, mem := range view.Config.Members {
@@ -185,17 +184,6 @@
 	return view
 }
 
-// receivedJoinRequests returns the newest join request of each keeper, sorted by
-// ID.
-func (ke *Keeper) receivedJoinRequests() []reconfig.ReceivedJoinRequest {
-	list := make([]reconfig.ReceivedJoinRequest, 0, len(ke.group.joinRequests))
-	for _, req := range ke.group.joinRequests {
-		list = append(list, req)
-	}
-	slices.SortFunc(list, func(one, two reconfig.ReceivedJoinRequest) int { return cmp.Compare(one.Member.ID, two.Member.ID) })
-	return list
-}
-
 // isBootstrapping reports whether the group still has too few voters for its
 // first change. A group that has accepted a labelled change keeps accepting
 // changes while a member is replaced.
--- a/core/reconfig/agreement_test.go
+++ b/core/reconfig/agreement_test.go
@@ -38,7 +38,7 @@
 	address      string
 	isUp         bool
 	disk         *bootDisk
-	requests     map[string]reconfig.ReceivedJoinRequest
+	requests     reconfig.JoinRequests
 	proposal     *reconfig.Proposal
 	proposalLost []string
 	isAccepting  bool
@@ -89,7 +89,7 @@
 		bm.nextID++
 		ke.disk = &bootDisk{id: fmt.Sprint("k", bm.nextID), isFirst: isFirst}
 	}
-	ke.isUp, ke.requests, ke.proposal, ke.highest = true, make(map[string]reconfig.ReceivedJoinRequest), nil, 0
+	ke.isUp, ke.requests, ke.proposal, ke.highest = true, make(reconfig.JoinRequests), nil, 0
 	ke.nextProposal, ke.joinedAt = bm.now, time.Time{}
 }
 
@@ -133,14 +133,6 @@
 	return reconfig.JoinRequest{Member: member(ke.disk.id, ke.address, false), Agrees: len(ke.disk.initial.Members) == 0, IsFirstStart: ke.disk.isFirst}
 }
 
-func (ke *bootKeeper) received() []reconfig.ReceivedJoinRequest {
-	var list []reconfig.ReceivedJoinRequest
-	for _, id := range slices.Sorted(mapKeys(ke.requests)) {
-		list = append(list, ke.requests[id])
-	}
-	return list
-}
-
 func (bm *bootModel) step() {
 	bm.now = bm.now.Add(modelTick)
 	for _, fn := range bm.queue[bm.now] {
@@ -166,7 +158,7 @@
 			continue
 		}
 		bm.send(other.address, func(ke *bootKeeper) {
-			ke.requests[req.Member.ID] = reconfig.ReceivedJoinRequest{JoinRequest: req, ReceivedAt: bm.now}
+			ke.requests.Add(reconfig.ReceivedJoinRequest{JoinRequest: req, ReceivedAt: bm.now})
 			bm.sendGroup(ke, req.Member)
 		})
 	}
@@ -198,14 +190,14 @@
 		}
 		return
 	}
-	config, ok := bm.electorate.Propose(bm.now, ke.joinRequest(), ke.received())
+	config, ok := bm.electorate.Propose(bm.now, ke.joinRequest(), ke.requests.List())
 	if !ok || bm.now.Before(ke.nextProposal) {
 		return
 	}
 	ballot := reconfig.Ballot{Number: max(ke.disk.acceptor.Promised.Number, ke.highest) + 1, Proposer: ke.disk.id}
 	ke.disk.acceptor.Prepare(ballot)
 	ke.proposal, ke.isAccepting, ke.proposedAt = reconfig.NewProposal(bm.electorate, ballot, ke.address, config), false, bm.now
-	ke.proposalLost = bm.electorate.Lost(ke.received())
+	ke.proposalLost = bm.electorate.Lost(ke.requests.List())
 	ke.proposal.AddPromise(ke.address, ke.disk.acceptor)
 	bm.askSeeds(ke, func(state *reconfig.Acceptor) bool { return state.Prepare(ballot) }, func(ke *bootKeeper, seed string, state reconfig.Acceptor) {
 		if !ke.isAccepting {
--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -25,6 +25,8 @@
 package reconfig
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -64,6 +66,24 @@
 	ReceivedAt time.Time
 }
 
+// JoinRequests holds the newest join request of each keeper, by ID.
+type JoinRequests map[string]ReceivedJoinRequest
+
+// Add records a join request. Only the newest one from an address counts: a keeper that lost
+// its disk has a new ID, and its last request under the old one must not seem recent beside
+// it. Otherwise the leader adds and removes the two IDs in turn until the old one expires.
+func (jo JoinRequests) Add(req ReceivedJoinRequest) {
+	maps.DeleteFunc(jo, func(_ string, other ReceivedJoinRequest) bool {
+		return other.Member.PeerAddress == req.Member.PeerAddress
+	})
+	jo[req.Member.ID] = req
+}
+
+// List returns the join requests, sorted by ID.
+func (jo JoinRequests) List() []ReceivedJoinRequest {
+	return slices.SortedFunc(maps.Values(jo), func(one, two ReceivedJoinRequest) int { return cmp.Compare(one.Member.ID, two.Member.ID) })
+}
+
 // Contact is when a member last responded to the leader, and whether it has stored
 // all committed entries.
 type Contact struct {
@@ -78,8 +98,8 @@
 	Config consensus.Config
 	// IsConfigCommitted reports whether Config is committed.
 	IsConfigCommitted bool
-	// JoinRequests has at most one request of each keeper, and none of a keeper in
-	// Stopping.
+	// JoinRequests has at most one request of each keeper and of each address, and none of a
+	// keeper in Stopping.
 	JoinRequests []ReceivedJoinRequest
 	// Stopping holds the keepers that shut down, by ID, and when each last said so.
 	Stopping map[string]time.Time
--- a/core/reconfig/reconfig_test.go
+++ b/core/reconfig/reconfig_test.go
@@ -1,6 +1,7 @@
 package reconfig_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,38 @@
 	}
 }
 
+// TestKeeperWithNewDiskReplacesItsRequest receives the last join request of a keeper, and
+// then one of its successor with a new disk, as when the group had no leader at its end. The
+// leader must only replace the old ID. It used to remove the new one again and add the old
+// one, in turn, until the old request expired.
+func TestKeeperWithNewDiskReplacesItsRequest(t *testing.T) {
+	is := is.New(t)
+	requests := make(reconfig.JoinRequests)
+	requests.Add(joinRequest("old", "1", false))
+	successor := joinRequest("new", "1", false)
+	successor.ReceivedAt = now.Add(500 * time.Millisecond)
+	requests.Add(successor)
+	config := consensus.Config{Members: []consensus.Member{member("old", "1", true), member("b", "2", true), member("c", "3", true), member("d", "4", true), member("e", "5", true)}}
+	recent := reconfig.Contact{LastResponseAt: successor.ReceivedAt, IsCaughtUp: true}
+	var steps []string
+	for range 8 {
+		step := reconfig.Next(reconfig.View{
+			Now: successor.ReceivedAt, Self: "b", Config: config, JoinRequests: requests.List(), LeaderSince: now.Add(-time.Hour), Size: 5,
+			Contacts: map[string]reconfig.Contact{"new": recent, "b": recent, "c": recent, "d": recent, "e": recent},
+		})
+		if step.Kind == reconfig.None {
+			break
+		}
+		steps = append(steps, step.Kind.String()+" "+step.Member.ID)
+		config.Members = slices.DeleteFunc(slices.Clone(config.Members), func(mem consensus.Member) bool { return mem.ID == step.Member.ID })
+		if step.Kind != reconfig.Remove {
+			step.Member.Voter = step.Kind == reconfig.Promote
+			config.Members = append(config.Members, step.Member)
+		}
+	}
+	is.Equal(steps, []string{"add new", "remove old", "promote new"})
+}
+
 func TestNext(t *testing.T) {
 	five := consensus.Config{Members: []consensus.Member{member("a", "1", true), member("b", "2", true), member("c", "3", true), member("d", "4", true), member("e", "5", true)}}
 	with := func(more ...consensus.Member) consensus.Config {
