fix(gate): an upstream that restarts with an earlier start time is used

What callers saw: an upstream crashes, its clock has gone back, and it starts again under its ID. Its announcements and its leave are acknowledged and ignored until the announcement of its previous start expires, 15 s. If the clock of the VM goes back by more than an hour, the announcements of an upstream that runs are rejected as invalid, and it isn't used after 15 s either.

Cause: start times alone ordered the starts of an upstream, and a start time was compared with the clock at every announcement instead of the first.

Ruled out: the sequence and the open connections of the gate don't tell a start that lives from a late announcement; both begin with a low sequence, and a connection may belong to either process. A probe connection would count against the connections that the upstream accepts.

Change: a later start time still replaces the registered start at once. An earlier one does so at once if the clock of the VM went back and the start is fresh, or if a connection was refused since the last announcement of the registered one; else at its second announcement, if the registered start is silent meanwhile. Since a late announcement may have replaced it, a replaced start counts as departed only when its successor has announced itself for longer than a lease, or leaves. Starts that have left are remembered as before.

--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -132,8 +132,10 @@
 	maxClockSkew = time.Hour
 )
 
-// validate returns an error that wraps ErrInvalid if an announcement can't be true.
-func (an Announcement) validate(now time.Time) error {
+// validate returns an error that wraps ErrInvalid if an announcement can't be true. The
+// start time of a registered start is valid: it may be in the future by now, if the clock
+// went back.
+func (an Announcement) validate(now time.Time, isRegistered bool) error {
 	address, err := netip.ParseAddrPort(an.Address)
 	switch {
 	case err != nil:
@@ -150,7 +152,7 @@
 		return fmt.Errorf("%w: warm-up of %s, want 0 to %s", ErrInvalid, an.WarmUp, maxWarmUp)
 	case an.Sequence > maxSequence:
 		return fmt.Errorf("%w: sequence %d, want at most %d", ErrInvalid, an.Sequence, uint64(maxSequence))
-	case an.StartedAt.After(now.Add(maxClockSkew)):
+	case !isRegistered && an.StartedAt.After(now.Add(maxClockSkew)):
 		return fmt.Errorf("%w: start at %s is in the future", ErrInvalid, an.StartedAt)
 	}
 	return nil
@@ -158,10 +160,11 @@
 
 // Announce registers an upstream or renews its lease.
 func (ga *Gate) Announce(ann Announcement) error {
-	if err := ann.validate(ga.opts.Clock.Now()); err != nil {
+	isRegistered := ga.isRegistered(ann)
+	if err := ann.validate(ga.opts.Clock.Now(), isRegistered); err != nil {
 		return err
 	}
-	if ga.opts.Inherited != nil && !ann.StartedAt.IsZero() && !ga.isRegistered(ann) {
+	if ga.opts.Inherited != nil && !ann.StartedAt.IsZero() && !isRegistered {
 		inherited, err := ga.opts.Inherited()
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrNotReady, err)
@@ -211,20 +214,27 @@
 	return ga.LeaveInstance(id, time.Time{})
 }
 
-// LeaveInstance is like Leave, but ignores an upstream that started after startedAt.
-// The zero time matches every upstream. The start is remembered, also that of an
+// LeaveInstance is like Leave, but ignores an upstream that started after startedAt, unless
+// that start has announced itself since. The zero time matches every upstream. The start is remembered, also that of an
 // unknown upstream, so that a delayed announcement of it has no effect.
 func (ga *Gate) LeaveInstance(id string, startedAt time.Time) (int, error) {
 	ga.departed.add(id, startedAt)
-	defer ga.opts.OnChange()
-	gu, ok := ga.find(id)
-	if !ok {
+	defer ga.opts.OnChange() // It is called after the lock is released.
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	gu, ok := ga.guards[id]
+	switch {
+	case !ok:
 		return 0, ErrUnknownUpstream
+	case gu.rivals.isContender(ga.opts.Clock.Now(), startedAt):
+		// The process at the address leaves. The registered start is not remembered as
+		// departed: it is used again if it still announces itself.
+		return gu.leave("leave announced by another start"), nil
+	case startedAt.IsZero() || startedAt.Equal(gu.ann.StartedAt) || gu.isLaterStart(startedAt):
+		ga.departRivals(gu)
+		return gu.depart("leave announced"), nil
 	}
-	if !startedAt.IsZero() && gu.ann.StartedAt.After(startedAt) {
-		return 0, nil
-	}
-	return gu.depart("leave announced"), nil
+	return 0, nil
 }
 
 // Records returns the records of all upstreams, ordered by id.
@@ -285,6 +295,9 @@
 		if gu.tick() {
 			changed = true
 		}
+		if ga.departDisplaced(gu) {
+			changed = true
+		}
 		if gu.isLeaving() && gu.isRemovable() {
 			ga.remove(gu)
 			changed = true
@@ -303,6 +316,9 @@
 // the upstream is new. It rejects announcements of a start that has left, those from
 // before the upstream's last start, and those that arrive after a later one of the
 // same start.
+//
+// A start with a later start time replaces the registered one at once. The start time
+// alone doesn't decide once the clock went back: see guard.isReplacedBy.
 func (ga *Gate) register(ann Announcement) (bool, error) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -310,21 +326,19 @@
 		return false, ErrStopping
 	}
 	gu := ga.guards[ann.ID]
-	if ga.departed.has(ann.ID, ann.StartedAt) && (gu == nil || ann.StartedAt.After(gu.ann.StartedAt)) {
+	if ga.departed.has(ann.ID, ann.StartedAt) && (gu == nil || !ann.StartedAt.Equal(gu.ann.StartedAt)) {
 		ga.opts.Log.Write(events.UpstreamLate, logrus.Fields{"upstream": ann.ID, "sequence": ann.Sequence})
+		if gu != nil && ann.StartedAt.Before(gu.ann.StartedAt) {
+			return false, ErrSuperseded
+		}
 		return false, ErrDeparted
 	}
-	if gu != nil && ann.StartedAt.After(gu.ann.StartedAt) && !gu.ann.StartedAt.IsZero() {
-		gu.depart("restarted")
-		gu.forgetWork()
-		gu = nil
-	}
 	if gu == nil {
 		ga.guards[ann.ID] = newGuard(ann, ga.opts, ga.departed, ga.allowance)
 		return true, nil
 	}
-	if ann.StartedAt.Before(gu.ann.StartedAt) {
-		return false, ErrSuperseded
+	if !gu.ann.StartedAt.IsZero() && !ann.StartedAt.Equal(gu.ann.StartedAt) {
+		return ga.registerOtherStart(gu, ann)
 	}
 	if gu.isLeaving() {
 		return false, ErrRecentlyLeft
@@ -332,10 +346,24 @@
 	if !gu.matches(ann) {
 		return false, ErrConflict
 	}
-	if !gu.renew(ann.Sequence) {
+	isLater, err := gu.renew(ann.Sequence)
+	if isLater {
+		gu.rivals.renew(ga.opts.Clock.Now())
+	}
+	return false, err
+}
+
+// registerOtherStart registers the start of an announcement in place of the registered one,
+// if it is a later one. The caller holds the lock.
+func (ga *Gate) registerOtherStart(gu *guard, ann Announcement) (bool, error) {
+	if ann.StartedAt.IsZero() || !gu.isLaterStart(ann.StartedAt) && !gu.isReplacedBy(ann) {
 		return false, ErrSuperseded
 	}
-	return false, nil
+	known := gu.displace(ann)
+	next := newGuard(ann, ga.opts, ga.departed, ga.allowance)
+	next.rivals.inherit(known)
+	ga.guards[ann.ID] = next
+	return true, nil
 }
 
 func (ga *Gate) find(id string) (*guard, bool) {
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -39,6 +39,8 @@
 	client *upstreamClient
 	// departed is shared by all guards of the gate.
 	departed *departures
+	// rivals is protected by Gate.mu.
+	rivals rivals
 
 	mu          sync.Mutex
 	queue       *rankqueue.Queue
@@ -48,9 +50,11 @@
 	latencies   map[string]*health.Latency
 	// warmAt is the end of the warm-up, or zero once tick has reported it. readyAt
 	// keeps that time for the record.
-	warmAt       time.Time
-	readyAt      time.Time
-	renewedAt    time.Time
+	warmAt    time.Time
+	readyAt   time.Time
+	renewedAt time.Time
+	// refusedAt is when a connection to the upstream was refused last.
+	refusedAt    time.Time
 	sequence     uint64
 	reportedBusy int // Only for the dump.
 	leaving      bool
@@ -91,6 +95,7 @@
 		work:        newWorkload(allowance),
 	}
 	gu.configureWork(policy)
+	gu.rivals.begin(now, ann.StartedAt)
 	return gu
 }
 
@@ -99,17 +104,18 @@
 	return gu.ann.Service == ann.Service && gu.ann.Address == ann.Address && gu.ann.Slots == ann.Slots
 }
 
-// renew renews the lease. It returns false if an announcement with a higher
-// sequence number arrived before.
-func (gu *guard) renew(sequence uint64) bool {
+// renew renews the lease and reports whether the sequence number is higher than those
+// before. It returns ErrSuperseded if an announcement with a higher one arrived before.
+func (gu *guard) renew(sequence uint64) (isLater bool, err error) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	if sequence < gu.sequence {
-		return false
+		return false, ErrSuperseded
 	}
+	isLater = sequence > gu.sequence
 	gu.sequence = sequence
 	gu.renewedAt = gu.opts.Clock.Now()
-	return true
+	return isLater, nil
 }
 
 // report renews the lease and stores the load that the upstream reports.
@@ -389,6 +395,9 @@
 	changed := false
 	gu.updateLimit(now, sent.limit)
 	gu.saidLeaving = gu.saidLeaving || sent.leaving
+	if sent.refused {
+		gu.refusedAt = now
+	}
 	if !sent.cancelled {
 		gu.observeResult(now, started, req, sent)
 		changed = gu.updateSuspicion(now) // Before the slot goes to a queued request.
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
@@ -59,6 +60,8 @@
 	cancelled bool
 	// unreachable reports that no connection could be established.
 	unreachable bool
+	// refused reports that nothing listens at the address of the upstream.
+	refused bool
 	// misdirected reports that a different upstream answers at the address.
 	misdirected bool
 	// limit is what the answer says about a limit on the upstream's requests.
@@ -141,7 +144,7 @@
 // unreachableAnswer returns the answer to an attempt for which there is no connection.
 func unreachableAnswer(ctx context.Context, err error) (wire.RunAnswer, sendResult) {
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
-	return wire.NotRun(outcome.UpstreamFailed, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled, unreachable: !cancelled}
+	return wire.NotRun(outcome.UpstreamFailed, err.Error()), sendResult{failed: !cancelled, cancelled: cancelled, unreachable: !cancelled, refused: errors.Is(err, syscall.ECONNREFUSED)}
 }
 
 // connect returns a connection for a request, a new one if the upstream has lately left
