fix(link): a panic of a handler ends only its call

What callers saw: a panic in the code that serves one call of a peer, or one request of a caller outside of the goroutine of net/http, ended the process with all requests that it carried. A panic in the gate of a request that net/http recovered left the slot, the queue and a lock of the upstream taken.

Change: the new package recovery turns a panic of a call into an error, logs it with its stack (event 603, callPanicked) and counts it (process.panics). Link calls are answered with the code "panicked", which no caller takes for "not run"; notices and undecodable frames are covered as well, and so are the attempts, wait estimates and claims that a daemon runs itself, the end of a stream and the upload of a streamed body. Panics of HTTP handlers are logged as events too, and end their connections as before. A gate releases the slot, the memory and the connection of a run that panics, and takes its request out of the queue; the request counts as cancelled and not as a failure of the upstream. A stream whose source panics ends at once instead of at the stall timeout. Locks on these paths are released by deferred calls where other code runs under them.

A daemon that asks for the members of quotas and gets "panicked" asks another one, instead of taking the peer for an older program.

Left as it is: a panic of a timer or a background loop, and of the loop of a keeper's consensus, still ends the process; its state may be inconsistent.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -142,6 +142,7 @@
 func New(opts Options) (*Daemon, error) {
 	da := &Daemon{opts: opts, started: opts.Clock.Now(), metrics: metrics.NewRegistry()}
 	mux := link.NewMux()
+	mux.LogPanics(opts.Log, da.metrics)
 	da.replica = settingsync.NewReplica(opts.SettingsKeys)
 	da.pool = link.NewPool(opts.Config.ID, opts.FleetTokens, mux, link.WithTLS(opts.TLS.Client()))
 	da.links = link.NewServer(mux, opts.FleetTokens, da.logRefusedCredentials)
@@ -178,7 +179,7 @@
 	}
 	if opts.Claims != nil {
 		da.claims = claims.New(claims.Options{
-			Clock: opts.Clock, Replica: da.replica, Keepers: opts.Keepers, Log: opts.Log, Mux: mux, Pool: da.pool, Self: opts.Config.ID,
+			Clock: opts.Clock, Replica: da.replica, Keepers: opts.Keepers, Log: opts.Log, Metrics: da.metrics, Mux: mux, Pool: da.pool, Self: opts.Config.ID,
 			Limits: *opts.Claims, Address: da.peerAddressOf,
 		})
 		ingressOpts.Claims = da.claims
--- a/cactusd/internal/claims/claims.go
+++ b/cactusd/internal/claims/claims.go
@@ -29,6 +29,8 @@
 	"cactusstream.example/core/clock"
 	"cactusstream.example/core/events"
 	"cactusstream.example/core/link"
+	"cactusstream.example/core/metrics"
+	"cactusstream.example/core/recovery"
 	"cactusstream.example/core/settings"
 	"cactusstream.example/core/settingsync"
 )
@@ -54,6 +56,7 @@
 	Replica *settingsync.Replica
 	Keepers []string
 	Log     *events.Logger
+	Metrics *metrics.Registry
 	Mux     *link.Mux
 	Pool    *link.Pool
 	Self    string
@@ -165,7 +168,9 @@
 // Claim sends a claim to one holder. It implements claim.Holders.
 func (cl *Claims) Claim(ctx context.Context, holder string, req claim.Request) (claim.Answer, error) {
 	if holder == cl.opts.Self {
-		return cl.claimLocally(req), nil
+		var answer claim.Answer
+		err := cl.protect(methodClaim, func() { answer = cl.claimLocally(req) })
+		return answer, err
 	}
 	address := cl.opts.Address(holder)
 	if address == "" {
@@ -178,8 +183,7 @@
 // claim.Holders.
 func (cl *Claims) Finish(ctx context.Context, holder string, fin claim.Finish) error {
 	if holder == cl.opts.Self {
-		cl.finishLocally(fin)
-		return nil
+		return cl.protect(methodFinish, func() { cl.finishLocally(fin) })
 	}
 	address := cl.opts.Address(holder)
 	if address == "" {
@@ -192,6 +196,11 @@
 	return nil
 }
 
+// protect runs a method of the local holder, and returns an error if its code panics.
+func (cl *Claims) protect(method string, fn func()) error {
+	return recovery.Run(cl.opts.Log, cl.opts.Metrics, logrus.Fields{"method": method}, fn)
+}
+
 func (cl *Claims) localEntries(req entriesRequest) entriesAnswer {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/cactusd/internal/gate/answerstream.go
+++ b/cactusd/internal/gate/answerstream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/bodybuffer"
@@ -60,15 +59,14 @@
 	return start, rest, nil
 }
 
-// attemptTimes are the times at which an attempt arrived at the gate and got its slot.
-type attemptTimes struct{ arrived, started time.Time }
-
-// passOn offers the body of an answer as a stream. The attempt ends with it.
-func (gu *guard) passOn(req wire.RunRequest, answer wire.RunAnswer, res sendResult, times attemptTimes, work *runningWork, slow bool) wire.RunAnswer {
+// passOn offers the body of an answer as a stream, which holds the slot until it ends.
+func (gu *guard) passOn(slot *heldSlot, answer wire.RunAnswer, res sendResult, slow bool) wire.RunAnswer {
 	res.answeredAt = gu.opts.Clock.Now()
+	req := slot.req
 	answer.BodyStream = res.pending.offer(res, func(final sendResult) {
-		gu.complete(req, times.started, work, slow, final)
-		gu.logAttempt(req, gu.withLoad(req.Kind, answer), times.arrived, times.started, work)
+		defer gu.releaseSlot(slot) // Only a panic has left it to that.
+		gu.complete(slot, slow, final)
+		gu.logAttempt(req, gu.withLoad(req.Kind, answer), slot.arrived, slot.started, slot.work)
 	})
 	return gu.withLoad(req.Kind, answer)
 }
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -144,9 +144,19 @@
 // time: an expired lease, the end of the warm-up, and timeouts of the health
 // detector. It reports whether the announced record changed.
 func (gu *guard) tick() bool {
+	expired, changed := gu.update()
+	if expired {
+		gu.leave("announcement expired")
+	}
+	return expired || changed
+}
+
+// update applies everything of a tick except the end of an expired lease.
+func (gu *guard) update() (expired, changed bool) {
 	gu.mu.Lock()
+	defer gu.mu.Unlock()
 	now := gu.opts.Clock.Now()
-	expired := !gu.leaving && now.Sub(gu.renewedAt) > Lease
+	expired = !gu.leaving && now.Sub(gu.renewedAt) > Lease
 	policy := gu.opts.Policy(gu.ann.Service)
 	gu.detector.SetPolicy(healthPolicy(policy))
 	gu.burstFilter.SetPolicy(burstPolicy(policy))
@@ -156,12 +166,7 @@
 	if warmed {
 		gu.warmAt = time.Time{}
 	}
-	changed := gu.updateState(now)
-	gu.mu.Unlock()
-	if expired {
-		gu.leave("announcement expired")
-	}
-	return expired || warmed || changed
+	return expired, gu.updateState(now) || warmed
 }
 
 // updateState logs a change of the health state and reports whether the
@@ -232,17 +237,22 @@
 		gu.logAttempt(req, rejection, arrived, gu.opts.Clock.Now(), nil)
 		return rejection
 	}
-	started := gu.opts.Clock.Now()
-	work := gu.beginWork(started, req)
-	monitor := gu.monitorSlow(req)
+	slot := &heldSlot{req: req, arrived: arrived}
+	defer gu.endSlot(slot)
+	slot.started = gu.opts.Clock.Now()
+	slot.work = gu.beginWork(slot.started, req)
+	slot.monitor = gu.monitorSlow(req)
 	answer, res := gu.client.send(ctx, req)
-	slow := monitor.stop()
+	slot.body, slot.pending = answer.Body, res.pending
+	slow := slot.monitor.stop()
 	if res.pending != nil {
-		return gu.passOn(req, answer, res, attemptTimes{arrived: arrived, started: started}, work, slow)
+		answer = gu.passOn(slot, answer, res, slow)
+	} else {
+		gu.complete(slot, slow, res)
+		answer = gu.withLoad(req.Kind, answer)
+		gu.logAttempt(req, answer, arrived, slot.started, slot.work)
 	}
-	gu.complete(req, started, work, slow, res)
-	answer = gu.withLoad(req.Kind, answer)
-	gu.logAttempt(req, answer, arrived, started, work)
+	slot.isDone = true
 	return answer
 }
 
@@ -265,7 +275,35 @@
 	decided := make(chan rankqueue.Decision, 1)
 	now := gu.opts.Clock.Now()
 	item := &rankqueue.Item{Rank: req.Rank, OrganisationRank: req.OrganisationRank, Firm: req.Firm, Deadline: now.Add(req.Remaining), Target: targetTime(now, req.TargetRemaining), LastResort: req.LastResort, AttemptID: req.Attempt, OnDecision: func(dec rankqueue.Decision) { decided <- dec }}
+	dec := rankqueue.Wait
+	ended := false
+	defer func() {
+		if !ended {
+			gu.abandon(req, item, dec, decided)
+		}
+	}()
+	rejection, rejected := gu.enqueue(now, req, item, &dec)
+	if rejected {
+		ended = true
+		return rejection, true
+	}
+	if dec == rankqueue.Wait {
+		dec = gu.awaitSlot(ctx, item, decided)
+	}
+	gu.settleRetryBudget(req, now, dec)
+	if dec != rankqueue.Run {
+		gu.endTrial(req)
+		rejection, rejected = gu.rejection(dec, item), true
+	}
+	ended = true
+	return rejection, rejected
+}
+
+// enqueue adds a request to the queue, unless it is rejected before, and sets the decision
+// of the queue.
+func (gu *guard) enqueue(now time.Time, req wire.RunRequest, item *rankqueue.Item, dec *rankqueue.Decision) (wire.RunAnswer, bool) {
 	gu.mu.Lock()
+	defer gu.mu.Unlock()
 	gu.adoptLimit(now, req.KnownLimit)
 	rejection, rejected := gu.checkAdmission(now, req)
 	if !rejected && req.Retry && !gu.retryBudget.Admit(now, gu.budgetPolicy(), retryOf(req.Rank, req.AfterTrial)) {
@@ -273,22 +311,12 @@
 		gu.trialInFlight = gu.trialInFlight && !req.Trial // A trial request admitted by checkAdmission isn't sent.
 	}
 	if rejected {
-		gu.mu.Unlock()
 		return rejection, true
 	}
 	item.ExpectedDuration, item.Work = gu.expectedCost(now, classOf(req))
-	dec := gu.queue.Add(now, item)
+	*dec = gu.queue.Add(now, item)
 	gu.scheduleStart(now)
-	gu.mu.Unlock()
-	if dec == rankqueue.Wait {
-		dec = gu.awaitSlot(ctx, item, decided)
-	}
-	gu.settleRetryBudget(req, now, dec)
-	if dec == rankqueue.Run {
-		return wire.RunAnswer{}, false
-	}
-	gu.endTrial(req)
-	return gu.rejection(dec, item), true
+	return wire.RunAnswer{}, false
 }
 
 // checkAdmission reports whether the request is rejected before it is queued.
@@ -337,24 +365,22 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	gu.mu.Lock()
-	cancelled := gu.queue.Cancel(gu.opts.Clock.Now(), item)
-	gu.mu.Unlock()
-	if cancelled {
+	if gu.cancel(item) {
 		return rankqueue.RejectDeadline
 	}
 	return <-decided
 }
 
+// cancel removes an item from the queue. It returns false if the queue has decided on it.
+func (gu *guard) cancel(item *rankqueue.Item) bool {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return gu.queue.Cancel(gu.opts.Clock.Now(), item)
+}
+
 // rejection returns the answer to a request that the queue rejected.
 func (gu *guard) rejection(dec rankqueue.Decision, item *rankqueue.Item) wire.RunAnswer {
-	gu.mu.Lock()
-	leaving := gu.leaving
-	retryAfter := time.Second
-	if gu.queue.Limit() > 0 {
-		retryAfter = gu.queue.EstimateWait(gu.opts.Clock.Now(), item)
-	}
-	gu.mu.Unlock()
+	leaving, retryAfter := gu.retryAfter(item)
 	if leaving {
 		return wire.NotRun(outcome.Stopping, "the upstream is leaving")
 	}
@@ -373,6 +399,18 @@
 	return answer
 }
 
+// retryAfter reports whether the upstream is leaving, and when a rejected request may be
+// tried again.
+func (gu *guard) retryAfter(item *rankqueue.Item) (leaving bool, wait time.Duration) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	wait = time.Second
+	if gu.queue.Limit() > 0 {
+		wait = gu.queue.EstimateWait(gu.opts.Clock.Now(), item)
+	}
+	return gu.leaving, wait
+}
+
 // targetTime returns the time by which a request should be answered, or the
 // zero time if left is 0, which means that the request has no target.
 func targetTime(now time.Time, left time.Duration) time.Time {
@@ -383,16 +421,31 @@
 }
 
 // complete records the result of a request and frees its slot.
-func (gu *guard) complete(req wire.RunRequest, started time.Time, work *runningWork, slow bool, sent sendResult) {
+func (gu *guard) complete(slot *heldSlot, slow bool, sent sendResult) {
+	changed, took := gu.recordResult(slot, slow, sent)
+	if sent.leaving {
+		gu.depart("leaving named in an answer")
+		changed = true
+	}
+	gu.opts.Metrics.Observe("gate.runMicros", took)
+	if changed {
+		gu.opts.OnChange()
+	}
+}
+
+// recordResult is the part of complete that holds the lock. It reports whether the
+// announced record changed, and how long the upstream took.
+func (gu *guard) recordResult(slot *heldSlot, slow bool, sent sendResult) (changed bool, took time.Duration) {
+	req, started, work := slot.req, slot.started, slot.work
 	res := health.Result{Failed: sent.failed, Slow: slow, Idempotent: req.Idempotent}
 	gu.mu.Lock()
+	defer gu.mu.Unlock()
 	now := gu.opts.Clock.Now()
 	held := now.Sub(started)
-	took := held
+	took = held
 	if !sent.answeredAt.IsZero() { // The rest of the time depends on the caller.
 		took = sent.answeredAt.Sub(started)
 	}
-	changed := false
 	gu.updateLimit(now, sent.limit)
 	gu.saidLeaving = gu.saidLeaving || sent.leaving
 	if sent.refused {
@@ -406,7 +459,10 @@
 		held = 0 // Not counted in the averages behind the wait estimates.
 	}
 	gu.endWork(now, work, held > 0) // Before the slot goes to a queued request.
-	gu.queue.Release(now, rankqueue.Class(req.OrganisationRank, req.Rank), held)
+	if !slot.isReleased {
+		slot.isReleased = true
+		gu.queue.Release(now, rankqueue.Class(req.OrganisationRank, req.Rank), held)
+	}
 	gu.scheduleStart(now)
 	if !sent.rejected && !sent.cancelled {
 		gu.detector.ObserveEnd(now, req.Baseline, res)
@@ -417,16 +473,7 @@
 	if req.Trial {
 		gu.trialInFlight = false
 	}
-	changed = gu.updateState(now) || changed
-	gu.mu.Unlock()
-	if sent.leaving {
-		gu.depart("leaving named in an answer")
-		changed = true
-	}
-	gu.opts.Metrics.Observe("gate.runMicros", took)
-	if changed {
-		gu.opts.OnChange()
-	}
+	return gu.updateState(now) || changed, took
 }
 
 // endTrial permits the next trial request if req was one.
@@ -478,9 +525,7 @@
 // context ends.
 func (gu *guard) waitIdle(ctx context.Context) error {
 	for {
-		gu.mu.Lock()
-		running := gu.queue.Running()
-		gu.mu.Unlock()
+		running := gu.running()
 		if running == 0 {
 			return nil
 		}
@@ -492,6 +537,12 @@
 	}
 }
 
+func (gu *guard) running() int {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return gu.queue.Running()
+}
+
 func (gu *guard) dumpState() map[string]any {
 	rec := gu.record()
 	gu.mu.Lock()
--- a/cactusd/internal/gate/slowmonitor.go
+++ b/cactusd/internal/gate/slowmonitor.go
@@ -27,9 +27,7 @@
 
 // monitorSlow starts the slowMonitor of a request.
 func (gu *guard) monitorSlow(req wire.RunRequest) *slowMonitor {
-	gu.mu.Lock()
-	threshold := gu.detector.SlowThreshold(req.Baseline, req.Target)
-	gu.mu.Unlock()
+	threshold := gu.slowThreshold(req)
 	sm := &slowMonitor{}
 	sm.mu.Lock()
 	defer sm.mu.Unlock()
@@ -37,6 +35,12 @@
 	return sm
 }
 
+func (gu *guard) slowThreshold(req wire.RunRequest) time.Duration {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return gu.detector.SlowThreshold(req.Baseline, req.Target)
+}
+
 // arm starts the timer for the next report, which is due after delay. elapsed is
 // how long the request will have lasted by then. The caller holds the monitor's
 // lock.
@@ -68,15 +72,20 @@
 // observeSlow reports a slow request in flight to the health detector, and to
 // the failure burst filter if it is the first report of the request.
 func (gu *guard) observeSlow(req wire.RunRequest, isFirst bool) {
+	if gu.recordSlow(req, isFirst) {
+		gu.opts.OnChange()
+	}
+}
+
+// recordSlow is the part of observeSlow that holds the lock. It reports whether the
+// announced record changed.
+func (gu *guard) recordSlow(req wire.RunRequest, isFirst bool) bool {
 	gu.mu.Lock()
+	defer gu.mu.Unlock()
 	now := gu.opts.Clock.Now()
 	gu.detector.ObserveSlow(now, req.Baseline)
 	if isFirst {
 		gu.burstFilter.Observe(now, now, failureburst.Overdue)
 	}
-	changed := gu.updateState(now)
-	gu.mu.Unlock()
-	if changed {
-		gu.opts.OnChange()
-	}
+	return gu.updateState(now)
 }
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -13,10 +13,15 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/dialect"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/metrics"
 	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/recovery"
 	"cactusstream.example/core/stream"
 )
 
@@ -42,6 +47,8 @@
 type upstreamClient struct {
 	id      string
 	dialect dialect.Upstream
+	log     *events.Logger
+	metrics *metrics.Registry
 	pool    *connPool
 	bodies  *bodybuffer.Buffer
 	streams *stream.Registry
@@ -82,7 +89,7 @@
 )
 
 func newUpstreamClient(ann Announcement, opts Options) *upstreamClient {
-	return &upstreamClient{id: ann.ID, dialect: opts.Dialect, bodies: opts.Bodies, streams: opts.Streams, pool: &connPool{address: ann.Address, maxIdleConns: ann.concurrency()}}
+	return &upstreamClient{id: ann.ID, log: opts.Log, metrics: opts.Metrics, dialect: opts.Dialect, bodies: opts.Bodies, streams: opts.Streams, pool: &connPool{address: ann.Address, maxIdleConns: ann.concurrency()}}
 }
 
 // send sends one attempt to the upstream. The caller holds the slot.
@@ -219,7 +226,14 @@
 func (ex *exchange) run(ctx context.Context) (wire.RunAnswer, sendResult) {
 	_ = ex.con.SetDeadline(time.Time{})
 	stop := context.AfterFunc(ctx, func() { _ = ex.con.SetDeadline(time.Unix(1, 0)) })
+	returned := false
+	defer func() {
+		if !returned { // The code panicked.
+			_ = ex.con.Close()
+		}
+	}()
 	answer, res := ex.roundTrip(ctx)
+	returned = true
 	inTime := stop()
 	switch {
 	case res.pending != nil && inTime:
@@ -265,7 +279,7 @@
 		if ex.upload == nil {
 			wrote <- writeResult{sent: buf.Len()}
 		} else {
-			go func() { wrote <- writeResult{sent: buf.Len(), err: ex.upload.send(ex.con)} }()
+			go func() { wrote <- writeResult{sent: buf.Len(), err: ex.sendUpload()} }()
 		}
 	}
 	rec, err := ex.readResponse()
@@ -302,6 +316,17 @@
 	return answer, res
 }
 
+// sendUpload sends the body of the request, whose source may be in this process.
+func (ex *exchange) sendUpload() (err error) {
+	panicked := recovery.Run(ex.client.log, ex.client.metrics, logrus.Fields{"upstream": ex.client.id, "request": ex.req.Request}, func() { err = ex.upload.send(ex.con) })
+	if panicked != nil {
+		ex.upload.failure.Store(&panicked)
+		_ = ex.con.SetDeadline(time.Unix(1, 0)) // The upstream waits for the rest.
+		return panicked
+	}
+	return err
+}
+
 // writeRequest writes the request to a buffer, without its body if that is a stream.
 func (ex *exchange) writeRequest(buf *bytes.Buffer) error {
 	if ex.upload != nil {
--- a/cactusd/internal/ingress/attempt.go
+++ b/cactusd/internal/ingress/attempt.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/fleet"
 	"cactusstream.example/core/link"
 	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/recovery"
 )
 
 const (
@@ -87,7 +90,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan wire.RunAnswer, 1)
-	go func() { done <- in.sendToGate(ctx, req, chosen) }()
+	go func() { done <- in.sendSafely(ctx, req, chosen) }()
 	if !req.policy.Idempotent || req.possibleRuns+1 >= req.policy.RetryAttempts {
 		return in.finishAttempt(req, chosen, <-done)
 	}
@@ -123,6 +126,20 @@
 	return ok
 }
 
+// sendSafely is like sendToGate. If the code panics, the request may have run.
+func (in *Ingress) sendSafely(ctx context.Context, req *request, chosen choice) (answer wire.RunAnswer) {
+	if err := in.protect(req, func() { answer = in.sendToGate(ctx, req, chosen) }); err != nil {
+		return wire.Unknown(outcome.LinkLost, err.Error())
+	}
+	return answer
+}
+
+// protect runs code for a request outside of the goroutine of its HTTP handler. It returns
+// an error if the code panics.
+func (in *Ingress) protect(req *request, fn func()) error {
+	return recovery.Run(in.opts.Log, in.opts.Metrics, logrus.Fields{"request": req.id, "service": req.path.Service}, fn)
+}
+
 // sendToGate runs an attempt through the gate of the chosen endpoint.
 func (in *Ingress) sendToGate(ctx context.Context, req *request, chosen choice) wire.RunAnswer {
 	now := in.opts.Clock.Now()
@@ -147,7 +164,11 @@
 	in.attempts.Store(run.Attempt, chosen.endpoint)
 	defer in.attempts.Delete(run.Attempt)
 	in.tracker.begin(chosen.endpoint.Key)
-	answer, err := in.opts.Runner.Run(ctx, chosen.endpoint, run)
+	var answer wire.RunAnswer
+	var err error
+	if panicked := in.protect(req, func() { answer, err = in.opts.Runner.Run(ctx, chosen.endpoint, run) }); panicked != nil {
+		answer, err = wire.RunAnswer{}, panicked
+	}
 	answer = answer.Checked()
 	now = in.opts.Clock.Now()
 	in.tracker.finish(now, chosen.endpoint.Key, run.Kind, answer, err == nil)
--- a/cactusd/internal/ingress/estimate.go
+++ b/cactusd/internal/ingress/estimate.go
@@ -151,9 +151,14 @@
 			if req.poolPolicy.CostAware {
 				estimateReq.Firm, estimateReq.CostClass = req.runRequest.Firm, req.runRequest.CostClass
 			}
-			answer, err := in.opts.Runner.EstimateWait(ctx, endpoints[index], estimateReq)
-			in.recordEstimate(endpoints[index], answer, err)
-			answers <- estimate{index: index, answer: answer, err: err}
+			est := estimate{index: index}
+			if err := in.protect(req, func() {
+				est.answer, est.err = in.opts.Runner.EstimateWait(ctx, endpoints[index], estimateReq)
+				in.recordEstimate(endpoints[index], est.answer, est.err)
+			}); err != nil {
+				est.err = err
+			}
+			answers <- est
 		}()
 	}
 	var estimates []estimate
--- a/cactusd/internal/quota/members.go
+++ b/cactusd/internal/quota/members.go
@@ -147,7 +147,7 @@
 	defer qu.mu.Unlock()
 	qu.members.fetching = false
 	var remote *link.RemoteError
-	if err != nil && !errors.As(err, &remote) {
+	if err != nil && (!errors.As(err, &remote) || remote.Code == link.CodePanicked) {
 		return
 	}
 	now := qu.opts.Clock.Now()
@@ -173,9 +173,13 @@
 			continue
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			qu.mu.Lock()
-			qu.node.MarkStopped(qu.opts.Clock.Now(), mem.ID)
-			qu.mu.Unlock()
+			qu.markStopped(mem.ID)
 		}
 	}
 }
+
+func (qu *Quota) markStopped(id string) {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	qu.node.MarkStopped(qu.opts.Clock.Now(), id)
+}
--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -94,6 +94,7 @@
 		opts: opts, startedAt: time.Now(), metrics: metrics.NewRegistry(), done: make(chan struct{}),
 		pool: link.NewPool(opts.Config.ID, opts.FleetTokens, mux, link.WithTLS(opts.TLS.Client())),
 	}
+	mux.LogPanics(opts.Log, se.metrics)
 	ctx, se.cancel = context.WithCancel(ctx)
 	consensusOpts := consensus.DefaultOptions()
 	consensusOpts.Seed = uint64(se.startedAt.UnixNano())
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -73,6 +73,7 @@
 	LinkOpened         = define(600, "linkOpened", logrus.DebugLevel, "A link to another process was opened.")
 	LinkLost           = define(601, "linkLost", logrus.InfoLevel, "A link to another process was lost.")
 	CredentialsRefused = define(602, "credentialsRefused", logrus.WarnLevel, "A call without valid credentials was rejected.")
+	CallPanicked       = define(603, "callPanicked", logrus.ErrorLevel, "The code that served a call of a peer or a request of a caller panicked. Only that call failed, and it may have run. The fields name the call, the value of the panic and its stack.")
 	StreamAborted      = define(642, "streamAborted", logrus.InfoLevel, "A body that was passed on as a stream ended before its last byte; the field reason says why.")
 	ConnectionsClosed  = define(662, "connectionsClosed", logrus.WarnLevel, "Connections of peers were closed or refused, because memory or connections ran short or because they made no progress; the fields count them by reason. Written at most once a second.")
 )
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/sirupsen/logrus"
 
 	"cactusstream.example/core/codec"
+	"cactusstream.example/core/recovery"
 )
 
 // sendState tells whether the writer has taken a queued call.
@@ -322,7 +324,7 @@
 		if _, err := buf.ReadFrom(reader); err != nil {
 			return
 		}
-		fra, err := codec.Unmarshal[frame](buf.Bytes())
+		fra, err := co.decodeFrame(buf.Bytes())
 		if err != nil {
 			return
 		}
@@ -335,6 +337,15 @@
 	}
 }
 
+// decodeFrame decodes a frame. A frame that can't be decoded ends the connection, since it
+// is not known which call it belongs to.
+func (co *conn) decodeFrame(data []byte) (fra frame, err error) {
+	if co.protect("frame", func() { fra, err = codec.Unmarshal[frame](data) }) {
+		return frame{}, recovery.ErrPanicked
+	}
+	return fra, err
+}
+
 func (co *conn) handleFrame(ctx context.Context, fra frame) {
 	switch fra.Kind {
 	case kindCall:
@@ -345,7 +356,7 @@
 		co.cancelCall(fra.ID)
 	case kindNotice:
 		if fn, ok := co.mux.noticeHandler(fra.Method); ok {
-			fn(co.peer, fra.Body)
+			co.protect(fra.Method, func() { fn(co.peer, fra.Body) })
 		}
 	}
 }
@@ -421,18 +432,39 @@
 	co.cancelFuncs[fra.ID] = cancel
 	co.mu.Unlock()
 	go func() {
-		defer func() {
-			cancel()
-			co.mu.Lock()
-			delete(co.cancelFuncs, fra.ID)
-			co.mu.Unlock()
-			<-co.callSlots
-		}()
-		body, err := fn(ctx, co.peer, fra.Body)
+		defer co.endCall(fra.ID, cancel)
+		body, err := co.runHandler(ctx, fn, fra)
 		co.sendResponse(fra.ID, body, err, isOwed)
 	}()
 }
 
+// endCall releases what a call of the peer holds.
+func (co *conn) endCall(id uint64, cancel context.CancelFunc) {
+	defer func() { <-co.callSlots }()
+	cancel()
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	delete(co.cancelFuncs, id)
+}
+
+// runHandler runs the handler of a call. If it panics, the call has a response like any
+// other, so that what the connection counts for it is released.
+func (co *conn) runHandler(ctx context.Context, fn handler, fra frame) (body []byte, err error) {
+	if co.protect(fra.Method, func() { body, err = fn(ctx, co.peer, fra.Body) }) {
+		return nil, &RemoteError{Code: CodePanicked, Message: recovery.ErrPanicked.Error()}
+	}
+	return body, err
+}
+
+// protect runs code that depends on a frame of the peer, and reports whether it panicked.
+func (co *conn) protect(method string, fn func()) bool {
+	if co.mux.log == nil {
+		fn()
+		return false
+	}
+	return recovery.Run(co.mux.log, co.mux.metrics, logrus.Fields{"method": method, "peer": co.peer}, fn) != nil
+}
+
 func (co *conn) sendResponse(id uint64, body []byte, err error, isOwed bool) {
 	resp := frame{Kind: kindResponse, ID: id, Body: body}
 	if err != nil {
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -26,6 +26,8 @@
 	"time"
 
 	"cactusstream.example/core/codec"
+	"cactusstream.example/core/events"
+	"cactusstream.example/core/metrics"
 )
 
 const (
@@ -65,6 +67,10 @@
 // ErrNotSent guarantees that a call never reached the peer.
 var ErrNotSent = errors.New("link: the call was not sent")
 
+// CodePanicked is the code of a RemoteError if the handler of the call panicked. The call
+// may have run.
+const CodePanicked = "panicked"
+
 // RemoteError is an error returned by the peer.
 type RemoteError struct {
 	Code    string `codec:"code"`
@@ -99,6 +105,9 @@
 	calls   map[string]handler
 	notices map[string]func(peer string, body []byte)
 	awaited map[string]bool
+	// log and metrics record panics of handlers. They are nil unless LogPanics was called.
+	log     *events.Logger
+	metrics *metrics.Registry
 }
 
 // NewMux returns a Mux without handlers.
@@ -128,6 +137,13 @@
 	}
 }
 
+// LogPanics makes a panic of a handler end only its call, which gets a RemoteError with
+// CodePanicked, and logs and counts it. Without LogPanics, a panic ends the process.
+// LogPanics must be called before the Mux is used.
+func (mu *Mux) LogPanics(log *events.Logger, reg *metrics.Registry) {
+	mu.log, mu.metrics = log, reg
+}
+
 // Await makes Drain wait for the responses of a method.
 func (mu *Mux) Await(method string) {
 	mu.mu.Lock()
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -199,6 +199,7 @@
 	if !handlerCharges {
 		se.http.Handler = chargeBodies(se.http.Handler)
 	}
+	se.http.Handler = gu.logPanics(se.http.Handler)
 	return se
 }
 
--- a/core/stream/offer.go
+++ b/core/stream/offer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"cactusstream.example/core/recovery"
 )
 
 // shownTokenBytes is the length of the part of a token that dumps and logs show. The whole
@@ -99,22 +101,29 @@
 
 // end ends the stream, with nil if the whole body was read.
 func (of *Offer) end(err error) {
-	of.mu.Lock()
-	if of.ended {
-		of.mu.Unlock()
+	interrupt, isFirst := of.markEnded(err)
+	if !isFirst {
 		return
 	}
-	of.ended, of.err = true, err
-	of.timer.Stop()
-	interrupt := of.interrupt
-	of.mu.Unlock()
+	if err != nil && interrupt != nil {
+		defer interrupt()
+	}
 	of.registry.remove(of, err)
-	if of.body.OnEnd != nil {
-		of.body.OnEnd(err)
+	if of.body.OnEnd != nil { // A timer may be what ended the stream.
+		_ = recovery.Run(of.registry.opts.Log, of.registry.opts.Metrics, logrus.Fields{"token": of.Token[:shownTokenBytes]}, func() { of.body.OnEnd(err) })
 	}
-	if err != nil && interrupt != nil {
-		interrupt()
+}
+
+// markEnded ends the stream for further reads. It returns false if it had ended before.
+func (of *Offer) markEnded(err error) (interrupt func(), isFirst bool) {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if of.ended {
+		return nil, false
 	}
+	of.ended, of.err = true, err
+	of.timer.Stop()
+	return of.interrupt, true
 }
 
 // Read reads from the source of a body that was taken, and ends the stream at its end.
@@ -122,9 +131,7 @@
 	if err := of.finalError(); err != nil {
 		return 0, err
 	}
-	of.reading.Store(true)
-	count, err := of.body.Reader.Read(data)
-	of.reading.Store(false)
+	count, err := of.readSource(data)
 	if count > 0 {
 		of.moved.Add(int64(count))
 		of.touch()
@@ -146,6 +153,22 @@
 	return count, nil
 }
 
+// readSource reads from the source. If that panics, the stream ends at once instead of at
+// the stall timeout, and what its body holds is freed.
+func (of *Offer) readSource(data []byte) (count int, err error) {
+	of.reading.Store(true)
+	returned := false
+	defer func() {
+		of.reading.Store(false)
+		if !returned {
+			of.end(ErrPanicked)
+		}
+	}()
+	count, err = of.body.Reader.Read(data)
+	returned = true
+	return count, err
+}
+
 // touch records progress.
 func (of *Offer) touch() {
 	of.mu.Lock()
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -63,6 +63,8 @@
 	ErrWithdrawn = errors.New("stream: the body was withdrawn")
 	// ErrStopped means that the process stops.
 	ErrStopped = errors.New("stream: the process stops")
+	// ErrPanicked means that the code that reads or sends the body panicked.
+	ErrPanicked = errors.New("stream: the code that passes on the body panicked")
 	// ErrUnknown means that no body is offered under a token, or that it was fetched
 	// before.
 	ErrUnknown = errors.New("stream: no body is offered under this token")
@@ -257,6 +259,7 @@
 		{ErrPeer, "peer"},
 		{ErrWithdrawn, "withdrawn"},
 		{ErrStopped, "stopped"},
+		{ErrPanicked, "panicked"},
 	} {
 		if errors.Is(err, known.err) {
 			return known.name
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -383,3 +383,59 @@
 		_ = rd.Close()
 	}
 }
+
+// panickingReader panics after some bytes.
+type panickingReader struct{ source io.Reader }
+
+func (pa panickingReader) Read(data []byte) (int, error) {
+	count, err := pa.source.Read(data)
+	if err != nil {
+		panic("the source of a body")
+	}
+	return count, nil
+}
+
+// TestPanicOfASourceEndsItsStream guards against a body that stays offered, and holds what its
+// owner has for it, until the stall timeout, and against an incomplete body that looks
+// complete. The owner may panic as well.
+func TestPanicOfASourceEndsItsStream(t *testing.T) {
+	const stall = time.Minute
+	fi := newFixture(t, func(opts *stream.Options) { opts.StallTimeout = stall })
+	for name, open := range fi.openers() {
+		for _, ownerPanics := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ownerPanics), func(t *testing.T) {
+				is := is.New(t)
+				ended := make(chan error, 2)
+				of := fi.offering.Offer(stream.Body{Reader: panickingReader{strings.NewReader("start")}, Length: -1, Direction: stream.Answer, OnEnd: func(err error) {
+					ended <- err
+					if ownerPanics {
+						panic("the owner of a body")
+					}
+				}})
+				rd, err := open(of.Token)
+				is.NoErr(err)
+				defer func() { _ = rd.Close() }()
+				read := make(chan error, 1)
+				go func() {
+					defer func() {
+						if value := recover(); value != nil {
+							read <- fmt.Errorf("panic: %v", value) // The source is in the same process.
+						}
+					}()
+					_, err := io.ReadAll(rd)
+					read <- err
+				}()
+				is.True(errors.Is(awaitEnd(t, ended), stream.ErrPanicked))
+				is.True(awaitEnd(t, read) != nil)
+				done := make(chan struct{})
+				defer time.AfterFunc(waitTimeout, func() { close(done) }).Stop()
+				fi.offering.Drain(done)
+				select {
+				case <-done:
+					t.Error("the body is still offered")
+				default:
+				}
+			})
+		}
+	}
+}
--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -78,19 +78,20 @@
 		http.Error(wr, err.Error(), http.StatusNotFound)
 		return
 	}
-	re.mu.Lock()
-	re.serving++
-	re.mu.Unlock()
-	defer func() {
-		re.mu.Lock()
-		re.serving--
-		re.mu.Unlock()
-	}()
+	re.addServing(1)
+	defer re.addServing(-1)
+	defer of.end(ErrPanicked) // It has ended before in any other case.
 	if err := of.writeTo(wr, req); err != nil {
 		panic(http.ErrAbortHandler) // The peer must see that the body is not complete.
 	}
 }
 
+func (re *Registry) addServing(count int) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.serving += count
+}
+
 // writeTo copies the body to a peer.
 func (of *Offer) writeTo(wr http.ResponseWriter, req *http.Request) error {
 	control := http.NewResponseController(wr)
@@ -291,16 +292,20 @@
 
 // finish ends the timers of a body that was read to its end.
 func (rd *Reader) finish() {
+	rd.markEnded()
+	rd.registry.mu.Lock()
+	defer rd.registry.mu.Unlock()
+	delete(rd.registry.readers, rd)
+}
+
+func (rd *Reader) markEnded() {
 	rd.mu.Lock()
+	defer rd.mu.Unlock()
 	rd.ended = true
 	rd.timer.Stop()
 	if rd.unfollow != nil {
 		rd.unfollow()
 	}
-	rd.mu.Unlock()
-	rd.registry.mu.Lock()
-	delete(rd.registry.readers, rd)
-	rd.registry.mu.Unlock()
 }
 
 // abort ends the stream with an error.
