refactor: locks are released by deferred calls where other code runs under them

A panic that a handler of a link recovers must not leave a lock held. The sections of fleet, quota, bodybuffer, the ingress and the pool of links that call other code move to small functions with a deferred unlock. The order of locks and the behaviour are unchanged; sections that only read or set fields stay.

--- a/cactusd/internal/ingress/body.go
+++ b/cactusd/internal/ingress/body.go
@@ -228,13 +228,20 @@
 	return nil
 }
 
-// close ends the use of the caller's connection. The response must have been written.
-func (ca *callerBody) close() {
+// consume ends the use of the body by attempts that were abandoned. It returns the body if
+// it was read into memory.
+func (ca *callerBody) consume() []byte {
 	ca.mu.Lock()
+	defer ca.mu.Unlock()
 	ca.withdrawLocked(ca.offer)
 	whole := ca.whole
-	ca.consumed, ca.isWhole, ca.whole = true, false, nil // For attempts that were abandoned.
-	ca.mu.Unlock()
+	ca.consumed, ca.isWhole, ca.whole = true, false, nil
+	return whole
+}
+
+// close ends the use of the caller's connection. The response must have been written.
+func (ca *callerBody) close() {
+	whole := ca.consume()
 	ca.bodies.Release(ca.held)
 	ca.bodies.Release(whole)
 	if !ca.isRead() {
--- a/cactusd/internal/quota/quota.go
+++ b/cactusd/internal/quota/quota.go
@@ -109,12 +109,7 @@
 	qu.awaitSettled(ctx)
 	started := qu.opts.Clock.Now()
 	ask := quota.Ask{Organisation: org.Name, PerSecond: org.Rate, Burst: org.Burst, Version: qu.opts.SettingsVersion()}
-	qu.mu.Lock()
-	id, res := qu.node.Take(started, ask)
-	decided := make(chan quota.Decision, 1)
-	qu.waiting[id] = decided
-	qu.process(res)
-	qu.mu.Unlock()
+	id, decided := qu.begin(started, ask)
 	select {
 	case dec := <-decided:
 		qu.record(org.Name, dec, qu.opts.Clock.Now().Sub(started))
@@ -125,13 +120,21 @@
 	}
 }
 
+// begin asks for one request. The decision is sent to the channel.
+func (qu *Quota) begin(now time.Time, ask quota.Ask) (id uint64, decided chan quota.Decision) {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	id, res := qu.node.Take(now, ask)
+	decided = make(chan quota.Decision, 1)
+	qu.waiting[id] = decided
+	qu.process(res)
+	return id, decided
+}
+
 // abandon gives up a request whose caller has gone. If it has been admitted in the
 // meantime, it returns the token.
 func (qu *Quota) abandon(id uint64, decided <-chan quota.Decision, org *settings.Organisation) {
-	qu.mu.Lock()
-	delete(qu.waiting, id)
-	qu.node.Cancel(id)
-	qu.mu.Unlock()
+	qu.cancel(id)
 	select {
 	case dec := <-decided:
 		if dec.Verdict.Outcome == quota.Admitted {
@@ -141,6 +144,13 @@
 	}
 }
 
+func (qu *Quota) cancel(id uint64) {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	delete(qu.waiting, id)
+	qu.node.Cancel(id)
+}
+
 // Return gives back what was taken for a request that has not run.
 func (qu *Quota) Return(org *settings.Organisation) {
 	if !(org.Rate > 0) {
@@ -183,14 +193,18 @@
 
 // serve answers the call of another daemon.
 func (qu *Quota) serve(ask quota.Ask) quota.Answer {
-	qu.mu.Lock()
-	ans := qu.node.Serve(qu.opts.Clock.Now(), ask)
-	qu.mu.Unlock()
+	ans := qu.grant(ask)
 	qu.opts.Metrics.Counter("quota.served").Inc(1)
 	qu.opts.Metrics.Counter("quota.granted").Inc(int64(ans.Granted))
 	return ans
 }
 
+func (qu *Quota) grant(ask quota.Ask) quota.Answer {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	return qu.node.Serve(qu.opts.Clock.Now(), ask)
+}
+
 // record counts a decision.
 func (qu *Quota) record(name string, dec quota.Decision, wait time.Duration) {
 	qu.opts.Metrics.Counter("quota." + dec.Verdict.Outcome.String()).Inc(1)
@@ -249,16 +263,20 @@
 func (qu *Quota) Tick() {
 	now := qu.opts.Clock.Now()
 	qu.followMembers(now)
+	qu.report(qu.takeTallies(now))
+}
+
+// takeTallies returns what was counted since the last report, or nil if none is due.
+func (qu *Quota) takeTallies(now time.Time) map[string]*tally {
 	qu.mu.Lock()
+	defer qu.mu.Unlock()
 	if now.Sub(qu.reportedAt) < reportInterval {
-		qu.mu.Unlock()
-		return
+		return nil
 	}
 	qu.reportedAt = now
 	tallies := qu.tallies
 	qu.tallies = make(map[string]*tally)
-	qu.mu.Unlock()
-	qu.report(tallies)
+	return tallies
 }
 
 // report logs organisations whose requests were refused, or admitted without a holder.
--- a/core/bodybuffer/account.go
+++ b/core/bodybuffer/account.go
@@ -83,7 +83,15 @@
 // all others make progress. If one of the others has to give way, or the account itself
 // later, its close function is called once with the reason.
 func (bu *Buffer) Open(closeConn func(Reason)) *Account {
+	ac, victims := bu.open(closeConn)
+	closeAll(victims, ReasonConnections)
+	return ac
+}
+
+// open is the part of Open that holds the lock. It also returns the accounts to close.
+func (bu *Buffer) open(closeConn func(Reason)) (*Account, []*Account) {
 	bu.mu.Lock()
+	defer bu.mu.Unlock()
 	limit := bu.limits.Accounts
 	now := bu.clock.Now()
 	var victims []*Account
@@ -95,16 +103,12 @@
 	if !isOpen && len(victims) == 0 && now.Sub(bu.lastRefusal) >= passInterval {
 		bu.lastRefusal = now
 	}
-	if isOpen {
-		bu.accounts[ac] = struct{}{}
-		bu.total += ac.held
-	}
-	bu.mu.Unlock()
-	closeAll(victims, ReasonConnections)
 	if !isOpen {
-		return nil
+		return nil, victims
 	}
-	return ac
+	bu.accounts[ac] = struct{}{}
+	bu.total += ac.held
+	return ac, victims
 }
 
 // Accounts returns the number of accounts and what they hold.
@@ -117,7 +121,13 @@
 // CloseStalled closes the accounts in the middle of a request or an answer whose peers
 // have neither sent nor read a byte for the given time.
 func (bu *Buffer) CloseStalled(after time.Duration) {
+	closeAll(bu.takeStalled(after), ReasonStalled)
+}
+
+// takeStalled removes the accounts that CloseStalled closes.
+func (bu *Buffer) takeStalled(after time.Duration) []*Account {
 	bu.mu.Lock()
+	defer bu.mu.Unlock()
 	now := bu.clock.Now()
 	var victims []*Account
 	for ac := range bu.accounts {
@@ -128,8 +138,7 @@
 	for _, ac := range victims {
 		bu.remove(ac)
 	}
-	bu.mu.Unlock()
-	closeAll(victims, ReasonStalled)
+	return victims
 }
 
 // Close ends the account. What it holds no longer counts.
@@ -316,14 +325,19 @@
 // freeBodies closes accounts without progress that hold bodies, until the given number of
 // bytes is about to be free, and reports whether it closed any.
 func (bu *Buffer) freeBodies(ac *Account, bytes int) bool {
-	bu.mu.Lock()
-	before := bu.total
-	victims := bu.takeVictims(ac, func() bool { return before-bu.total >= bytes })
-	bu.mu.Unlock()
+	victims := bu.takeForBodies(ac, bytes)
 	closeAll(victims, ReasonMemory)
 	return len(victims) > 0
 }
 
+// takeForBodies removes the accounts that freeBodies closes.
+func (bu *Buffer) takeForBodies(ac *Account, bytes int) []*Account {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	before := bu.total
+	return bu.takeVictims(ac, func() bool { return before-bu.total >= bytes })
+}
+
 type accountKey struct{}
 
 // WithAccount returns a context that carries the account of a connection.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -170,10 +170,7 @@
 
 // Leave announces to the other daemons that this one leaves.
 func (fl *Fleet) Leave() {
-	fl.mu.Lock()
-	out := fl.table.Leave(fl.opts.Clock.Now())
-	fl.mu.Unlock()
-	fl.sendAll(out)
+	fl.sendAll(fl.update(func(now time.Time) []member.Outgoing { return fl.table.Leave(now) }))
 	fl.refreshView()
 }
 
@@ -216,13 +213,18 @@
 // SetUpstreams replaces the upstreams of this daemon and its departures, and announces
 // them.
 func (fl *Fleet) SetUpstreams(upstreams []member.Upstream, departed []member.Departure) {
-	fl.mu.Lock()
-	out := fl.table.SetUpstreams(fl.opts.Clock.Now(), upstreams, departed)
-	fl.mu.Unlock()
-	fl.sendAll(out)
+	fl.sendAll(fl.update(func(now time.Time) []member.Outgoing { return fl.table.SetUpstreams(now, upstreams, departed) }))
 	fl.refreshView()
 }
 
+// update changes the table and returns the messages to send. The lock is released also if
+// the code of the table panics.
+func (fl *Fleet) update(change func(now time.Time) []member.Outgoing) []member.Outgoing {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return change(fl.opts.Clock.Now())
+}
+
 // View returns the current view of the fleet.
 func (fl *Fleet) View() *View {
 	return fl.view.Load()
@@ -235,11 +237,13 @@
 }
 
 func (fl *Fleet) tick() {
-	fl.mu.Lock()
-	fl.table.SetSettingsVersion(fl.opts.Replica.Current().Version)
-	out := fl.table.Tick(fl.opts.Clock.Now())
-	changes := fl.table.TakeChanges()
-	fl.mu.Unlock()
+	var changes []member.Change
+	out := fl.update(func(now time.Time) []member.Outgoing {
+		fl.table.SetSettingsVersion(fl.opts.Replica.Current().Version)
+		out := fl.table.Tick(now)
+		changes = fl.table.TakeChanges()
+		return out
+	})
 	fl.sendAll(out)
 	for _, change := range changes {
 		fl.opts.Log.Write(events.MemberChanged, logrus.Fields{"member": change.ID, "from": change.From.String(), "to": change.To.String(), "new": change.IsNew})
@@ -281,10 +285,7 @@
 			fl.opts.Metrics.Counter("fleet.datagramsRefused").Inc(1)
 			continue
 		}
-		fl.mu.Lock()
-		out := fl.table.Handle(fl.opts.Clock.Now(), msg)
-		fl.mu.Unlock()
-		fl.sendAll(out)
+		fl.sendAll(fl.update(func(now time.Time) []member.Outgoing { return fl.table.Handle(now, msg) }))
 	}
 }
 
--- a/core/fleet/sync.go
+++ b/core/fleet/sync.go
@@ -21,9 +21,7 @@
 // large, and a whole fleet that starts should not fetch it three times a daemon.
 func (fl *Fleet) syncWithOneSeed(ctx context.Context) {
 	seeds := fl.otherSeeds()
-	fl.mu.Lock()
-	fl.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	fl.mu.Unlock()
+	fl.shuffle(seeds)
 	results := make(chan bool, len(seeds))
 	pending := 0
 	for _, seed := range seeds {
@@ -56,9 +54,7 @@
 			fl.syncWithOneSeed(ctx)
 		} else {
 			fl.syncAll(ctx, fl.syncTargets(round))
-			fl.mu.Lock()
-			delay = syncInterval/2 + time.Duration(fl.rng.Int64N(int64(syncInterval)))
-			fl.mu.Unlock()
+			delay = fl.syncDelay()
 		}
 		select {
 		case <-time.After(delay):
@@ -83,13 +79,7 @@
 // and seeds reconnect the sides of a healed network partition.
 func (fl *Fleet) syncTargets(round int) []string {
 	leavesZone := round%crossZoneRounds == 0
-	fl.mu.Lock()
-	pick := fl.table.PickPeerInZone
-	if leavesZone {
-		pick = fl.table.PickPeer
-	}
-	peer, dead := pick(), fl.table.PickDead()
-	fl.mu.Unlock()
+	peer, dead := fl.pickTargets(leavesZone)
 	targets := []string{peer}
 	if dead != "" {
 		targets = append(targets, dead)
@@ -100,6 +90,30 @@
 	return targets
 }
 
+// pickTargets returns a random living daemon and a random dead one.
+func (fl *Fleet) pickTargets(leavesZone bool) (peer, dead string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	pick := fl.table.PickPeerInZone
+	if leavesZone {
+		pick = fl.table.PickPeer
+	}
+	return pick(), fl.table.PickDead()
+}
+
+func (fl *Fleet) shuffle(seeds []string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+}
+
+// syncDelay returns a random delay to the next round.
+func (fl *Fleet) syncDelay() time.Duration {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return syncInterval/2 + time.Duration(fl.rng.Int64N(int64(syncInterval)))
+}
+
 func (fl *Fleet) otherSeeds() []string {
 	var seeds []string
 	for _, seed := range fl.opts.Seeds() {
@@ -115,9 +129,7 @@
 func (fl *Fleet) sync(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	fl.mu.Lock()
-	req := fl.table.BeginSync()
-	fl.mu.Unlock()
+	req := fl.beginSync()
 	for range maxSyncRequests {
 		response, err := link.Call[member.SyncRequest, member.SyncResponse](ctx, fl.opts.Pool, address, syncMethod, req)
 		if err == nil {
@@ -126,9 +138,7 @@
 		if err != nil {
 			return false
 		}
-		fl.mu.Lock()
-		next, ok := fl.table.ContinueSync(fl.opts.Clock.Now(), response)
-		fl.mu.Unlock()
+		next, ok := fl.continueSync(response)
 		if !ok {
 			break
 		}
@@ -139,9 +149,26 @@
 }
 
 func (fl *Fleet) handleSync(_ context.Context, peer string, req member.SyncRequest) (member.SyncResponse, error) {
+	resp := fl.answerSync(peer, req)
+	return resp.Pack(req)
+}
+
+func (fl *Fleet) beginSync() member.SyncRequest {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.table.BeginSync()
+}
+
+func (fl *Fleet) continueSync(response member.SyncResponse) (next member.SyncRequest, ok bool) {
 	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.table.ContinueSync(fl.opts.Clock.Now(), response)
+}
+
+func (fl *Fleet) answerSync(peer string, req member.SyncRequest) member.SyncResponse {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	resp := fl.table.AnswerSync(fl.opts.Clock.Now(), req)
 	resp.Departed = fl.table.DepartedFrom(peer)
-	fl.mu.Unlock()
-	return resp.Pack(req)
+	return resp
 }
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -121,11 +121,9 @@
 	po.mu.Unlock()
 	var conns []*conn
 	for _, pc := range peers {
-		pc.mu.Lock()
-		if pc.con != nil {
-			conns = append(conns, pc.con)
+		if con := pc.current(); con != nil {
+			conns = append(conns, con)
 		}
-		pc.mu.Unlock()
 	}
 	drainAll(ctx, conns)
 }
@@ -243,6 +241,13 @@
 	return con, nil
 }
 
+// current returns the connection, or nil.
+func (pc *peerConn) current() *conn {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	return pc.con
+}
+
 func (pc *peerConn) close() {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
