test(soak): organisations, quotas and rotated keys under faults

The fleet of the soak test had no organisations, so no test showed that the quota's bound and the handling of keys hold while daemons and keepers fail.

Two organisations have keys now. Callers of one send six times its quota; the key of the other is rotated during the run with cactusctl organisations rotate.

The changes of the rotations are added to the history that is checked for linearizability, with versions from the log of the settings; that an operator's change of the history was accepted is checked as before.

Ruled out: outcome notRun for every 429, as an earlier attempt of an idempotency key may have run (docs/callers.md).

--- a/standin/internal/caller/caller.go
+++ b/standin/internal/caller/caller.go
@@ -48,6 +48,9 @@
 	// CredentialFile holds the key of the caller's organisation. It is read for each
 	// request, so that a new key is used as soon as it is there.
 	CredentialFile string
+	// Organisation is sent in the header in which upstreams get the organisation. Daemons
+	// that require keys have to ignore it.
+	Organisation string
 	// BodyBytes is the size of each request body.
 	BodyBytes int
 	// Deadline is sent in the Cactus-Deadline-Ms header if it is not zero;
@@ -66,6 +69,20 @@
 	Keys bool
 	// ClosePerRequest opens a new connection for every request.
 	ClosePerRequest bool
+	// Record adds each request to the report.
+	Record bool
+}
+
+// Request is a request that was sent, with its response. Status is 0 if there was none.
+type Request struct {
+	Target     string
+	Path       string
+	Tag        string
+	Credential string
+	SentAt     time.Time
+	AnsweredAt time.Time
+	Status     int
+	Outcome    string
 }
 
 // Report summarises the responses. Good counts responses with status 200 that
@@ -88,6 +105,8 @@
 	MaxMicros    int64          `json:"maxMicros"`
 	// NotRunKeys are the idempotency keys of the responses with outcome notRun.
 	NotRunKeys []string `json:"notRunKeys,omitempty"`
+	// Requests lists the requests if Config.Record is set. It contains keys.
+	Requests []Request `json:"-"`
 }
 
 // generator holds the state of one run.
@@ -187,8 +206,11 @@
 		ge.recordError(err)
 		return
 	}
+	sent := Request{Target: target, Path: ge.cfg.Path, Tag: tag, SentAt: time.Now()}
+	defer func() { ge.recordRequest(sent) }()
 	req.Header.Set(headerTag, tag)
 	setNonEmpty(req.Header, "Cactus-Firm", ge.cfg.Firm)
+	setNonEmpty(req.Header, "Cactus-Organisation", ge.cfg.Organisation)
 	if ge.cfg.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+ge.cfg.Token)
 	}
@@ -198,7 +220,8 @@
 			ge.recordError(err)
 			return
 		}
-		req.Header.Set("Cactus-Credential", strings.TrimSpace(string(data)))
+		sent.Credential = strings.TrimSpace(string(data))
+		req.Header.Set("Cactus-Credential", sent.Credential)
 	}
 	if ge.cfg.Deadline > 0 {
 		req.Header.Set("Cactus-Deadline-Ms", strconv.FormatInt(ge.cfg.Deadline.Milliseconds(), 10))
@@ -213,6 +236,7 @@
 		ge.recordError(err)
 		return
 	}
+	sent.Status, sent.Outcome = resp.StatusCode, resp.Header.Get("Cactus-Outcome")
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	_ = resp.Body.Close()
 	if err != nil {
@@ -222,6 +246,17 @@
 	ge.record(resp, string(body), tag, key, time.Since(due))
 }
 
+// recordRequest adds a request to the report if that is configured.
+func (ge *generator) recordRequest(sent Request) {
+	if !ge.cfg.Record {
+		return
+	}
+	sent.AnsweredAt = time.Now()
+	ge.mu.Lock()
+	defer ge.mu.Unlock()
+	ge.report.Requests = append(ge.report.Requests, sent)
+}
+
 // record adds a response to the report. A response from an upstream must repeat
 // the request's tag in the header and at the end of the body, which shows that
 // it belongs to the request and is complete.
--- a/standin/internal/cmd/upstream.go
+++ b/standin/internal/cmd/upstream.go
@@ -48,6 +48,7 @@
 	flags.DurationVar(&cfg.Cold, "cold", 0, "warm-up time announced to the daemon")
 	flags.DurationVar(&cfg.Latency, "latency", 10*time.Millisecond, "mean time to respond")
 	flags.BoolVar(&cfg.Plain, "plain", false, "omit the Cactus-Attempt header from responses")
+	flags.BoolVar(&cfg.RecordRuns, "record-runs", false, "keep the start time and the headers of every request; the control listener returns them")
 	for _, name := range []string{"id", "service", "address"} {
 		_ = com.MarkFlagRequired(name)
 	}
--- a/standin/internal/e2e/fleet_test.go
+++ b/standin/internal/e2e/fleet_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -40,6 +41,8 @@
 
 	upstreams map[string]*simulatedUpstream
 	lastPort  int
+	// recordRuns makes upstreams record their runs for recordedRuns.
+	recordRuns bool
 	// forwarders holds the forwarder in front of each process's peer address, by
 	// process name. It is nil if processes connect to each other directly.
 	forwarders map[string]*forward.Forwarder
@@ -184,6 +187,11 @@
 	return list
 }
 
+// daemonAt returns the name of the daemon that listens on an address for callers.
+func (fl *fleet) daemonAt(address string) string {
+	return fmt.Sprintf("d%d", 1+slices.Index(fl.callerAddresses(), address))
+}
+
 func (fl *fleet) writeFile(name, text string) {
 	fl.t.Helper()
 	if err := os.WriteFile(fl.path(name), []byte(text), 0o600); err != nil {
@@ -270,7 +278,7 @@
 	control := fmt.Sprintf("%s:%d", ip, 10000+fl.lastPort)
 	fl.upstreams[id] = &simulatedUpstream{id: id, control: control}
 	fl.start(id, "standin", "upstream", "--id", id, "--service", service, "--address", fmt.Sprintf("%s:%d", ip, 9000+fl.lastPort),
-		"--control", control, "--daemon", ip+":7101", "--token-file", fl.path("keys/upstream.token"), "--latency", latency.String())
+		"--control", control, "--daemon", ip+":7101", "--token-file", fl.path("keys/upstream.token"), "--latency", latency.String(), fmt.Sprintf("--record-runs=%t", fl.recordRuns))
 }
 
 // start starts a program and keeps it under the name, also for restart.
@@ -495,6 +503,26 @@
 	return runs, all
 }
 
+// recordedRuns returns the runs that the running upstreams have recorded.
+func (fl *fleet) recordedRuns() []upstream.Run {
+	fl.t.Helper()
+	var all []upstream.Run
+	for _, up := range fl.upstreams {
+		resp, err := http.Get("http://" + up.control + "/runs")
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		var runs []upstream.Run
+		err = json.NewDecoder(resp.Body).Decode(&runs)
+		_ = resp.Body.Close()
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		all = append(all, runs...)
+	}
+	return all
+}
+
 // checkRuns checks the invariants and that no upstream received more concurrent
 // requests than it has slots.
 func (fl *fleet) checkRuns(reports ...caller.Report) {
--- a/standin/internal/e2e/keepers_test.go
+++ b/standin/internal/e2e/keepers_test.go
@@ -175,8 +175,9 @@
 	return history
 }
 
-// checkLinearizable checks that the history is linearizable.
-func checkLinearizable(t *testing.T, history []porcupine.Operation) {
+// checkLinearizable checks that the history is linearizable, together with changes that
+// others made meanwhile. A change of the history itself must have been accepted.
+func checkLinearizable(t *testing.T, history []porcupine.Operation, others ...porcupine.Operation) {
 	t.Helper()
 	accepted := 0
 	for _, op := range history {
@@ -188,7 +189,7 @@
 	if accepted == 0 {
 		t.Fatal("no change was accepted")
 	}
-	if res := porcupine.CheckOperationsTimeout(settingsModel, history, time.Minute); res != porcupine.Ok {
+	if res := porcupine.CheckOperationsTimeout(settingsModel, append(history, others...), time.Minute); res != porcupine.Ok {
 		t.Fatalf("history is not linearizable: %s", res)
 	}
 }
--- a/standin/internal/e2e/soak_test.go
+++ b/standin/internal/e2e/soak_test.go
@@ -56,9 +56,16 @@
 	reserved map[string]bool
 	// events lists the injected faults. It is printed if the run fails.
 	events  []string
+	faults  []injectedFault
 	started time.Time
 }
 
+// injectedFault is the time in which a process had a fault. The end is zero until then.
+type injectedFault struct {
+	name       string
+	start, end time.Time
+}
+
 // soakFault is a kind of fault: target selects a process, inject starts the fault
 // and ends it after the duration.
 type soakFault struct {
@@ -135,9 +142,13 @@
 // runSoak injects random faults while callers and operators send requests, and checks
 // the invariants during the run and afterwards.
 func runSoak(t *testing.T, tc soakCase) {
-	fl := newForwardedFleet(t, 3).startQuillota(2, 20*time.Millisecond)
+	fl := newForwardedFleet(t, 3)
+	fl.recordRuns = true
+	fl.startQuillota(2, 20*time.Millisecond)
 	so := &soakRun{fl: fl, rng: rand.New(rand.NewPCG(tc.Seed, 17)), reserved: make(map[string]bool), started: time.Now()}
 	defer so.logFaults()
+	or := newSoakOrganisations(so)
+	so.started = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	duration := time.Duration(tc.Seconds) * time.Second
@@ -149,32 +160,42 @@
 	first := fl.settingsVersion()
 	go func() { history <- runConcurrentOperators(op, 2, first, stop) }()
 	go so.watchVersions(ctx)
-	wait := callInBackground(fl,
+	wait := callInBackground(fl, append(or.callers(duration),
 		caller.Config{Path: "/catalogo/stock", Rate: 30, Duration: duration},
 		caller.Config{Method: "POST", Path: "/corte/order", Rate: 30, Duration: duration, Keys: true},
 		caller.Config{Method: "POST", Path: "/corte/order", Rate: 10, Duration: duration, Keys: true, ClosePerRequest: true},
-	)
+	)...)
 	resends := make(chan []resentKey, 1)
 	go func() { resends <- resendKeys(ctx, fl) }()
+	rotations := make(chan struct{})
+	go func() {
+		defer close(rotations)
+		or.rotateKeys(ctx)
+	}()
 	so.injectFaults(duration)
 	so.group.Wait()
 	reports := wait()
 	cancel()
 	keys := <-resends
+	<-rotations
 	close(stop)
+	operations := <-history
 
 	for _, rep := range reports {
 		t.Logf("%d sent, %d good, outcomes %v, reasons %v", rep.Sent, rep.Good, rep.Outcomes, rep.Reasons)
 	}
 	so.checkRecovery()
+	reports = append(reports, or.checkRecovery()...)
 	fl.checkInvariants(reports...)
+	removed, changes := or.removals(first)
+	or.check(t, reports, removed, confirmationTimes(operations, first))
 	runs, _ := fl.runsByKey()
 	for _, key := range keys {
 		if key.lastNotRun && runs[key.key] > 0 {
 			t.Errorf("the last response for key %s has outcome notRun, but it was executed", key.key)
 		}
 	}
-	checkLinearizable(t, <-history)
+	checkLinearizable(t, operations, changes...)
 }
 
 // logFaults logs the injected faults if the run failed.
@@ -227,6 +248,7 @@
 		return false
 	}
 	so.reserved[name] = true
+	so.faults = append(so.faults, injectedFault{name: name, start: time.Now()})
 	return true
 }
 
@@ -234,6 +256,20 @@
 	so.mu.Lock()
 	defer so.mu.Unlock()
 	so.reserved[name] = false
+	for i := range so.faults {
+		if so.faults[i].name == name && so.faults[i].end.IsZero() {
+			so.faults[i].end = time.Now()
+		}
+	}
+}
+
+// hadFault reports whether a process had a fault at a time or shortly before.
+func (so *soakRun) hadFault(name string, at time.Time) bool {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	return slices.ContainsFunc(so.faults, func(fault injectedFault) bool {
+		return fault.name == name && !fault.start.After(at) && (fault.end.IsZero() || at.Sub(fault.end) < faultAftermath)
+	})
 }
 
 func (so *soakRun) randomKeeper() string { return fmt.Sprintf("k%d", 1+so.rng.IntN(so.fl.keepers)) }
--- a/standin/internal/upstream/upstream.go
+++ b/standin/internal/upstream/upstream.go
@@ -11,7 +11,7 @@
 //	err = up.Stop(ctx)
 //
 // The control listener serves POST /fault, which takes a Fault, and GET /counts,
-// which returns Counts.
+// which returns Counts. If Config.RecordRuns is set, GET /runs returns the list of Run.
 package upstream
 
 import (
@@ -23,6 +23,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,14 @@
 	Token  string
 	// Plain omits the Cactus-Attempt header from responses.
 	Plain bool
+	// RecordRuns keeps the start time and the headers of every executed request.
+	RecordRuns bool
+}
+
+// Run is the execution of a request, with the headers that the upstream received.
+type Run struct {
+	StartedAt time.Time   `json:"startedAt"`
+	Header    http.Header `json:"header"`
 }
 
 // Counts holds the counters of a simulated upstream: Runs counts executed
@@ -92,6 +101,7 @@
 	fault      Fault
 	faultSetAt time.Time
 	counts     Counts
+	recorded   []Run
 }
 
 // New returns an upstream that has not been started.
@@ -102,6 +112,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fault", up.serveFault)
 	mux.HandleFunc("GET /counts", up.serveCounts)
+	mux.HandleFunc("GET /runs", up.serveRuns)
 	up.control = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	return up
 }
@@ -239,7 +250,7 @@
 		return
 	}
 	defer func() { <-up.slots }()
-	up.countRun(req.Header.Get(headerKey))
+	up.countRun(req.Header)
 	defer up.running.Add(-1)
 	up.respond(wr, req, fault, affected)
 }
@@ -264,11 +275,15 @@
 }
 
 // countRun counts the start of a request and, if it has one, its idempotency key.
-func (up *Upstream) countRun(key string) {
+func (up *Upstream) countRun(header http.Header) {
 	running := int(up.running.Add(1))
+	key := header.Get(headerKey)
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.counts.Runs++
+	if up.cfg.RecordRuns {
+		up.recorded = append(up.recorded, Run{StartedAt: time.Now(), Header: header.Clone()})
+	}
 	up.counts.MostRunning = max(up.counts.MostRunning, running)
 	if announcedAt := up.leaveAnnouncedAt.Load(); announcedAt != 0 {
 		up.counts.AfterLeave++
@@ -362,6 +377,14 @@
 	_ = json.NewEncoder(wr).Encode(counts)
 }
 
+func (up *Upstream) serveRuns(wr http.ResponseWriter, _ *http.Request) {
+	up.mu.Lock()
+	recorded := slices.Clone(up.recorded)
+	up.mu.Unlock()
+	wr.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(wr).Encode(recorded)
+}
+
 func (up *Upstream) serveFault(wr http.ResponseWriter, req *http.Request) {
 	var fault Fault
 	if err := json.NewDecoder(io.LimitReader(req.Body, maxBodyBytes)).Decode(&fault); err != nil {
