test(standin): an upstream's slot is free before its response is written

The simulated upstream counted requests beyond its slots although the daemon kept to them: with FaultDuplicate it held the slot for 100 ms after the response, and with FaultTruncate and FaultCut until after it had closed the connection. A daemon may use the slot as soon as it has the response or the end of the connection. Responses written through net/http are flushed after the slot is released, so they were not affected.

--- a/standin/internal/upstream/upstream.go
+++ b/standin/internal/upstream/upstream.go
@@ -249,10 +249,15 @@
 	if !up.acquireSlot(req.Context()) {
 		return
 	}
-	defer func() { <-up.slots }()
 	up.countRun(req.Header)
-	defer up.running.Add(-1)
-	up.respond(wr, req, fault, affected)
+	responds := up.execute(req.Context(), fault, affected)
+	// The slot is free before the response is written: the daemon may use it as soon as it
+	// has the response, while the upstream still writes a second one or closes the connection.
+	up.running.Add(-1)
+	<-up.slots
+	if responds {
+		up.writeResponse(wr, req, fault, affected)
+	}
 }
 
 // acquireSlot waits for a free slot, first come, first served. It returns false
@@ -298,9 +303,9 @@
 	}
 }
 
-// respond waits for the latency and writes the response, with the fault if the
-// request is affected by it.
-func (up *Upstream) respond(wr http.ResponseWriter, req *http.Request, fault Fault, affected bool) {
+// execute waits for the latency, with the fault if the request is affected by it. It
+// returns false if the client cancelled the request.
+func (up *Upstream) execute(ctx context.Context, fault Fault, affected bool) bool {
 	latency := up.cfg.Latency/2 + time.Duration(rand.ExpFloat64()*float64(up.cfg.Latency/2))
 	if affected && fault.Kind == FaultSlow {
 		latency = time.Duration(float64(latency) * fault.Factor)
@@ -311,21 +316,21 @@
 	if affected && fault.Kind == FaultLate {
 		latency += 2 * time.Second
 	}
-	ctx := req.Context()
 	if affected && fault.Kind == FaultIgnoreCancel {
 		ctx = context.WithoutCancel(ctx)
 	}
 	select {
 	case <-time.After(latency):
+		return true
 	case <-ctx.Done():
 		up.mu.Lock()
 		up.counts.Cancelled++
 		up.mu.Unlock()
-		return
+		return false
 	}
-	up.writeResponse(wr, req, fault, affected)
 }
 
+// writeResponse writes the response, with the fault if the request is affected by it.
 func (up *Upstream) writeResponse(wr http.ResponseWriter, req *http.Request, fault Fault, affected bool) {
 	tag := req.Header.Get(headerTag)
 	body := fmt.Sprintf("{\"upstream\":%q,\"path\":%q,\"tag\":%q}\n", up.cfg.ID, req.URL.Path, tag)
