test(soak): operators stop before the last rotation of a key

They stop with the callers now. A removal after that counts as confirmed when its command has ended.

--- a/standin/internal/e2e/soak_organisations_test.go
+++ b/standin/internal/e2e/soak_organisations_test.go
@@ -81,13 +81,15 @@
 	// they were handed out, and handedOut the times.
 	keys      []string
 	handedOut []time.Time
-	completed int
+	// removedAt is when the command that removed a key ended. The removal is confirmed by
+	// then.
+	removedAt map[string]time.Time
 }
 
 // newSoakOrganisations adds the organisations to the settings of the fleet.
 func newSoakOrganisations(so *soakRun) *soakOrganisations {
 	fl := so.fl
-	or := &soakOrganisations{so: so, keys: []string{firstRotatedKey}, handedOut: []time.Time{{}}}
+	or := &soakOrganisations{so: so, keys: []string{firstRotatedKey}, handedOut: []time.Time{{}}, removedAt: make(map[string]time.Time)}
 	data, err := os.ReadFile(fl.path("quillota.ini"))
 	if err != nil {
 		fl.t.Fatal(err)
@@ -132,7 +134,7 @@
 // rotateKeys rotates a key again and again until the context ends, and then until one
 // rotation is complete.
 func (or *soakOrganisations) rotateKeys(ctx context.Context) {
-	for attempt := 0; ctx.Err() == nil || or.completed == 0; attempt++ {
+	for attempt := 0; ctx.Err() == nil || len(or.removedAt) == 0; attempt++ {
 		or.rotateKey()
 		if ctx.Err() != nil && attempt > 100 {
 			or.so.fl.t.Error("no rotation of a key was completed")
@@ -173,7 +175,7 @@
 		}
 	}
 	or.replaceKeyFile("removed.key", old)
-	or.completed++
+	or.removedAt[old] = time.Now()
 }
 
 // readKeyFile returns the key in a file.
@@ -303,7 +305,7 @@
 		}
 		most = max(most, end-start)
 	}
-	t.Logf("%d rotations, statuses %v; %d requests of the organisation with the quota ran, at most %d of %d in %s", or.completed, statuses, len(limited), most, maxLimitedRuns, quotaWindow)
+	t.Logf("%d rotations, statuses %v; %d requests of the organisation with the quota ran, at most %d of %d in %s", len(or.removedAt), statuses, len(limited), most, maxLimitedRuns, quotaWindow)
 }
 
 // since returns the time since the start of the run, as in the list of faults.
@@ -367,7 +369,10 @@
 		if req.Credential != rem.key {
 			continue
 		}
-		confirmed := confirmedAt(rem.version)
+		confirmed, ended := confirmedAt(rem.version), or.removedAt[rem.key]
+		if confirmed.IsZero() || ended.Before(confirmed) && !ended.IsZero() {
+			confirmed = ended
+		}
 		if !confirmed.IsZero() && req.SentAt.Sub(confirmed) > removedKeyTimeout && !or.so.hadFault(or.so.fl.daemonAt(req.Target), req.SentAt) {
 			t.Errorf("a request with a removed key was sent at %s and ran at %s; version %d without the key was confirmed at %s: %+v",
 				or.since(req.SentAt), or.since(run.StartedAt), rem.version, or.since(confirmed), req)
--- a/standin/internal/e2e/soak_test.go
+++ b/standin/internal/e2e/soak_test.go
@@ -177,8 +177,8 @@
 	reports := wait()
 	cancel()
 	keys := <-resends
-	<-rotations
 	close(stop)
+	<-rotations
 	operations := <-history
 
 	for _, rep := range reports {
