--- a/standin/internal/upstream/upstream.go
+++ b/standin/internal/upstream/upstream.go
@@ -11,7 +11,7 @@
 //	err = up.Stop(ctx)
 //
 // The control listener serves POST /fault, which takes a Fault, and GET /counts,
-// which returns Counts.
+// which returns Counts. If Config.RecordRuns is set, GET /runs returns the list of Run.
 package upstream
 
 import (
@@ -23,6 +23,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,14 @@
 	Token  string
 	// Plain omits the Cactus-Attempt header from responses.
 	Plain bool
+	// RecordRuns keeps the start time and the headers of every executed request.
+	RecordRuns bool
+}
+
+// Run is the execution of a request, with the headers that the upstream received.
+type Run struct {
+	StartedAt time.Time   `json:"startedAt"`
+	Header    http.Header `json:"header"`
 }
 
 // Counts holds the counters of a simulated upstream: Runs counts executed
@@ -92,6 +101,7 @@
 	fault      Fault
 	faultSetAt time.Time
 	counts     Counts
+	recorded   []Run
 }
 
 // New returns an upstream that has not been started.
@@ -102,6 +112,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fault", up.serveFault)
 	mux.HandleFunc("GET /counts", up.serveCounts)
+	mux.HandleFunc("GET /runs", up.serveRuns)
 	up.control = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	return up
 }
@@ -238,10 +249,15 @@
 	if !up.acquireSlot(req.Context()) {
 		return
 	}
-	defer func() { <-up.slots }()
-	up.countRun(req.Header.Get(headerKey))
-	defer up.running.Add(-1)
-	up.respond(wr, req, fault, affected)
+	up.countRun(req.Header)
+	responds := up.execute(req.Context(), fault, affected)
+	// The slot is free before the response is written: the daemon may use it as soon as it
+	// has the response, while the upstream still writes a second one or closes the connection.
+	up.running.Add(-1)
+	<-up.slots
+	if responds {
+		up.writeResponse(wr, req, fault, affected)
+	}
 }
 
 // acquireSlot waits for a free slot, first come, first served. It returns false
@@ -264,11 +280,15 @@
 }
 
 // countRun counts the start of a request and, if it has one, its idempotency key.
-func (up *Upstream) countRun(key string) {
+func (up *Upstream) countRun(header http.Header) {
 	running := int(up.running.Add(1))
+	key := header.Get(headerKey)
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.counts.Runs++
+	if up.cfg.RecordRuns {
+		up.recorded = append(up.recorded, Run{StartedAt: time.Now(), Header: header.Clone()})
+	}
 	up.counts.MostRunning = max(up.counts.MostRunning, running)
 	if announcedAt := up.leaveAnnouncedAt.Load(); announcedAt != 0 {
 		up.counts.AfterLeave++
@@ -283,9 +303,9 @@
 	}
 }
 
-// respond waits for the latency and writes the response, with the fault if the
-// request is affected by it.
-func (up *Upstream) respond(wr http.ResponseWriter, req *http.Request, fault Fault, affected bool) {
+// execute waits for the latency, with the fault if the request is affected by it. It
+// returns false if the client cancelled the request.
+func (up *Upstream) execute(ctx context.Context, fault Fault, affected bool) bool {
 	latency := up.cfg.Latency/2 + time.Duration(rand.ExpFloat64()*float64(up.cfg.Latency/2))
 	if affected && fault.Kind == FaultSlow {
 		latency = time.Duration(float64(latency) * fault.Factor)
@@ -296,21 +316,21 @@
 	if affected && fault.Kind == FaultLate {
 		latency += 2 * time.Second
 	}
-	ctx := req.Context()
 	if affected && fault.Kind == FaultIgnoreCancel {
 		ctx = context.WithoutCancel(ctx)
 	}
 	select {
 	case <-time.After(latency):
+		return true
 	case <-ctx.Done():
 		up.mu.Lock()
 		up.counts.Cancelled++
 		up.mu.Unlock()
-		return
+		return false
 	}
-	up.writeResponse(wr, req, fault, affected)
 }
 
+// writeResponse writes the response, with the fault if the request is affected by it.
 func (up *Upstream) writeResponse(wr http.ResponseWriter, req *http.Request, fault Fault, affected bool) {
 	tag := req.Header.Get(headerTag)
 	body := fmt.Sprintf("{\"upstream\":%q,\"path\":%q,\"tag\":%q}\n", up.cfg.ID, req.URL.Path, tag)
@@ -362,6 +382,14 @@
 	_ = json.NewEncoder(wr).Encode(counts)
 }
 
+func (up *Upstream) serveRuns(wr http.ResponseWriter, _ *http.Request) {
+	up.mu.Lock()
+	recorded := slices.Clone(up.recorded)
+	up.mu.Unlock()
+	wr.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(wr).Encode(recorded)
+}
+
 func (up *Upstream) serveFault(wr http.ResponseWriter, req *http.Request) {
 	var fault Fault
 	if err := json.NewDecoder(io.LimitReader(req.Body, maxBodyBytes)).Decode(&fault); err != nil {
