--- a/standin/internal/upstream/upstream_test.go
+++ b/standin/internal/upstream/upstream_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -58,7 +60,7 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 	}
-	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Fatal(err)
 	}
 }
