--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -63,14 +63,19 @@
 // newPairOf is like newPair, with a limit for bodies.
 func newPairOf(t testing.TB, bodyLimit int, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
 	t.Helper()
-	tree := settings.NewTree().Apply([]settings.Edit{
+	return newPairWith(t, []settings.Edit{{Path: "*/*/s/order", Key: "bodyLimit", Value: fmt.Sprint(bodyLimit)}}, upstream, edits...)
+}
+
+// newPairWith is like newPair, with further settings.
+func newPairWith(t testing.TB, extra []settings.Edit, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
+	t.Helper()
+	tree := settings.NewTree().Apply(append([]settings.Edit{
 		{Path: "*/*/s/order", Key: "path", Value: "/order"},
 		{Path: "*/*/s/order", Key: "method", Value: "POST"},
 		{Path: "*/*/s/order", Key: "deadline", Value: "20s"},
-		{Path: "*/*/s/order", Key: "bodyLimit", Value: fmt.Sprint(bodyLimit)},
 		{Path: "*/*", Key: "retryAttempts", Value: "1"},
 		{Path: "*/*", Key: "slowStart", Value: "0s"},
-	})
+	}, extra...))
 	keeper, key := serveSettings(t, tree)
 	frontPeer, callers := freeAddress(t), freeAddress(t)
 	start := func(id, peer, callers string) *daemon.Daemon {
