fix(stream): a slow reader of a large answer is served

What callers saw: one that reads at 0.1 MB/s is disconnected after about 40 s.

Cause: the send buffer of its connection grows to 4 MB, and the kernel takes more only once a third of it is free. At 0.1 MB/s that takes 16 s, longer than the 10 s in which a stream must make progress.

Change: a connection that core/process accepts gets a send buffer of 128 KiB once more than that is written on it, so links and small answers keep the kernel's buffer. The reader of a stream has the time of [limits] stall (20 s) instead of the 10 s of its source; a silent source still ends after 10 s.

Ruled out: limiting the buffer when a write is seen to wait, because the 4 MB that are queued by then must drain first.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -146,7 +146,7 @@
 	da.pool = link.NewPool(opts.Config.ID, opts.FleetTokens, mux, link.WithTLS(opts.TLS.Client()))
 	da.links = link.NewServer(mux, opts.FleetTokens, da.logRefusedCredentials)
 	if !opts.OmitStreams {
-		da.streams = stream.New(stream.Options{Address: opts.Config.PeerAddress, Log: opts.Log, Metrics: da.metrics, Tokens: opts.FleetTokens, OnUnauthorized: da.logRefusedCredentials, TLS: opts.TLS.Client()})
+		da.streams = stream.New(stream.Options{Address: opts.Config.PeerAddress, Log: opts.Log, Metrics: da.metrics, Tokens: opts.FleetTokens, OnUnauthorized: da.logRefusedCredentials, TLS: opts.TLS.Client(), ReaderTimeout: opts.Config.Limits.Stall})
 	}
 	var err error
 	da.fleet, err = fleet.New(fleet.Options{
--- a/cactusd/daemon/stream_end_test.go
+++ b/cactusd/daemon/stream_end_test.go
@@ -280,3 +280,39 @@
 		})
 	}
 }
+
+// TestSlowReaderOfALargeAnswerIsServed reads an answer quickly, so that the kernel's buffers
+// grow, and then at 0.1 MB/s. Such a reader was disconnected after about 40 s, because the
+// daemon's send buffer of 4 MB took no byte for longer than the stall time-out of 10 s.
+func TestSlowReaderOfALargeAnswerIsServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const (
+		fast     = 16 << 20
+		rate     = 100_000
+		duration = 50 * time.Second
+		steps    = 10 // In a second.
+	)
+	pa := newPairOf(t, largestBody, func(wr http.ResponseWriter, req *http.Request) {
+		if !isProbe(wr, req) {
+			wr.Header().Set("Content-Length", fmt.Sprint(largestBody))
+			_, _ = io.Copy(wr, &pattern{size: largestBody})
+		}
+	}, func(_ string, opts *daemon.Options) { opts.Config.Limits.Stall = 20 * time.Second })
+	defer pa.stop(t)
+	con, err := net.Dial("tcp", pa.callers)
+	is.NoErr(err)
+	defer func() { _ = con.Close() }()
+	_, err = fmt.Fprint(con, "POST /order?answer HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+	is.NoErr(err)
+	_, err = io.CopyN(io.Discard, con, fast)
+	is.NoErr(err)
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		_, err = io.CopyN(io.Discard, con, rate/steps)
+		is.NoErr(err)
+		time.Sleep(time.Second / steps)
+	}
+	is.Equal(openStreams(pa.back), 1) // The rest is still on its way.
+	_, err = io.CopyN(io.Discard, con, largestBody-fast-rate*int64(duration/time.Second))
+	is.NoErr(err)
+}
--- a/cactusd/internal/ingress/answerstream.go
+++ b/cactusd/internal/ingress/answerstream.go
@@ -125,7 +125,7 @@
 // copyAnswer copies a body to the caller and returns the number of bytes written.
 func (in *Ingress) copyAnswer(wr http.ResponseWriter, body *answerBody) (int64, error) {
 	control := http.NewResponseController(wr)
-	timeout := in.opts.Streams.StallTimeout()
+	timeout := in.opts.Streams.ReaderTimeout()
 	buf, data, err := body.first[:cap(body.first)], body.first, body.err
 	var copied int64
 	for {
--- a/core/process/guard_test.go
+++ b/core/process/guard_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,3 +208,46 @@
 		is.Equal(rec.Code, status)
 	}
 }
+
+// TestProgressOfASlowReaderShowsInWrites guards against a send buffer that grows to
+// megabytes while the peer reads fast and then hides for a long time that it still reads:
+// whoever writes the answer, such as a stream, would take it for stalled.
+func TestProgressOfASlowReaderShowsInWrites(t *testing.T) {
+	is := is.New(t)
+	const (
+		address   = "127.77.0.218:18080"
+		fast      = 32 << 20
+		slow      = 1 << 20
+		piece     = 64 << 10
+		quietTime = 300 * time.Millisecond
+	)
+	var written atomic.Int64
+	guardedServer(t, address, Limits{Connections: 10, Stall: 20 * time.Second}, func(wr http.ResponseWriter, _ *http.Request) {
+		block := make([]byte, 32<<10)
+		for {
+			count, err := wr.Write(block)
+			if err != nil {
+				return
+			}
+			written.Add(int64(count))
+		}
+	})
+	con := connect(t, address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, err := io.CopyN(io.Discard, con, fast)
+	is.NoErr(err)
+	for range 3 {
+		before := int64(-1)
+		for before != written.Load() { // Until all buffers are full.
+			before = written.Load()
+			time.Sleep(quietTime)
+		}
+		for read := 0; written.Load() == before; read += piece {
+			if read >= slow {
+				t.Fatalf("the peer has read %d bytes, and the server could write none", read)
+			}
+			_, err := io.CopyN(io.Discard, con, piece)
+			is.NoErr(err)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
--- a/core/process/guardedconn.go
+++ b/core/process/guardedconn.go
@@ -25,6 +25,11 @@
 	smallWrite = 4 << 10
 	// writePiece is the size of the pieces in which a large answer is written, in bytes.
 	writePiece = 64 << 10
+	// sendBuffer is the size of the send buffer of a connection that gets a large answer, in
+	// bytes. By default a kernel lets it grow to 4 MB, and takes more only once a third of it
+	// is free, so that a slow reader's progress is hidden for longer than a stall may take.
+	// It is enough for 37 MB/s at a round trip of 3.5 ms.
+	sendBuffer = 128 << 10
 	// maxAhead is the number of requests that a peer may send in a row without waiting for
 	// an answer. The answer to the last one ends the connection.
 	maxAhead = 100
@@ -81,6 +86,9 @@
 	ahead int
 	// lingers is set if the connection ends because of pipelining.
 	lingers atomic.Bool
+	// written counts the bytes that were written until the send buffer was limited. Writes
+	// don't run concurrently.
+	written int
 	writing atomic.Bool
 	unsent  int // Used by the sweep only.
 }
@@ -139,6 +147,7 @@
 		}
 		defer co.account.Return(held)
 	}
+	co.limitSendBuffer(len(data))
 	written := 0
 	for {
 		piece := data[written:min(len(data), written+writePiece)]
@@ -154,6 +163,21 @@
 	}
 }
 
+// limitSendBuffer limits the send buffer once more is written than it holds, so that
+// ordinary connections, and those that become links, keep the kernel's.
+func (co *guardedConn) limitSendBuffer(count int) {
+	if co.written > sendBuffer {
+		return
+	}
+	co.written += count
+	if co.written <= sendBuffer {
+		return
+	}
+	if sized, ok := co.Conn.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = sized.SetWriteBuffer(sendBuffer) // Without it, the reader only has to be faster.
+	}
+}
+
 // begin marks the start of a request.
 func (co *guardedConn) begin() {
 	co.inHead.Store(false)
--- a/core/stream/offer.go
+++ b/core/stream/offer.go
@@ -41,9 +41,11 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	taken bool
-	ended bool
-	err   error
+	// awaitsReader is set while the timer runs for the reader of the body.
+	awaitsReader bool
+	taken        bool
+	ended        bool
+	err          error
 	// interrupt ends a write to the peer that is in progress.
 	interrupt func()
 }
@@ -69,8 +71,8 @@
 	if of.taken || of.ended {
 		return false
 	}
-	of.taken = true
-	of.timer.Reset(of.registry.opts.StallTimeout)
+	of.taken, of.awaitsReader = true, true
+	of.timer.Reset(of.registry.opts.ReaderTimeout)
 	return true
 }
 
@@ -122,12 +124,13 @@
 	if err := of.finalError(); err != nil {
 		return 0, err
 	}
+	of.awaitSource()
 	of.reading.Store(true)
 	count, err := of.body.Reader.Read(data)
 	of.reading.Store(false)
 	if count > 0 {
 		of.moved.Add(int64(count))
-		of.touch()
+		of.awaitReader()
 	}
 	// A peer that has all bytes of a known length may close the connection before the
 	// source has told its end.
@@ -146,15 +149,26 @@
 	return count, nil
 }
 
-// touch records progress.
-func (of *Offer) touch() {
+// awaitSource starts the timer for the source, unless it runs since the last progress.
+func (of *Offer) awaitSource() {
 	of.mu.Lock()
 	defer of.mu.Unlock()
-	if !of.ended {
+	if !of.ended && of.awaitsReader {
+		of.awaitsReader = false
 		of.timer.Reset(of.registry.opts.StallTimeout)
 	}
 }
 
+// awaitReader starts the timer for the reader after progress.
+func (of *Offer) awaitReader() {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if !of.ended {
+		of.awaitsReader = true
+		of.timer.Reset(of.registry.opts.ReaderTimeout)
+	}
+}
+
 // finalError returns what a Read after the end returns, or nil if the stream is open.
 func (of *Offer) finalError() error {
 	of.mu.Lock()
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -41,7 +41,7 @@
 	// DefaultFetchTimeout is how long an offered body waits to be fetched. The peer
 	// fetches it as soon as it has the token.
 	DefaultFetchTimeout = 5 * time.Second
-	// DefaultStallTimeout is how long a transfer may make no progress.
+	// DefaultStallTimeout is how long the source of a body may make no progress.
 	DefaultStallTimeout = 10 * time.Second
 	// BufferSize is the size of a copy buffer, in bytes.
 	BufferSize = 32 << 10
@@ -51,8 +51,8 @@
 var (
 	// ErrNotFetched means that no peer fetched the body within the fetch timeout.
 	ErrNotFetched = errors.New("stream: the body was not fetched")
-	// ErrStalled means that the reader of the body made no progress within the stall
-	// timeout, and ErrSourceStalled that its source did not.
+	// ErrStalled means that the reader of the body made no progress within the reader
+	// timeout, and ErrSourceStalled that its source made none within the stall timeout.
 	ErrStalled       = errors.New("stream: the reader of the body made no progress")
 	ErrSourceStalled = errors.New("stream: the source of the body made no progress")
 	// ErrSource means that reading the source of the body failed.
@@ -93,6 +93,9 @@
 	// DefaultStallTimeout.
 	FetchTimeout time.Duration
 	StallTimeout time.Duration
+	// ReaderTimeout is how long the reader of a body may take no byte. It defaults to
+	// StallTimeout.
+	ReaderTimeout time.Duration
 }
 
 // Registry holds the bodies that a process offers, and fetches those of its peers. It is
@@ -119,6 +122,9 @@
 	if opts.StallTimeout == 0 {
 		opts.StallTimeout = DefaultStallTimeout
 	}
+	if opts.ReaderTimeout == 0 {
+		opts.ReaderTimeout = opts.StallTimeout
+	}
 	re := &Registry{opts: opts, offers: make(map[string]*Offer), readers: make(map[*Reader]struct{}), scheme: "http"}
 	if opts.TLS != nil {
 		re.scheme = "https"
@@ -130,8 +136,8 @@
 // Address returns the address under which peers fetch the bodies of this process.
 func (re *Registry) Address() string { return re.opts.Address }
 
-// StallTimeout returns how long a transfer may make no progress.
-func (re *Registry) StallTimeout() time.Duration { return re.opts.StallTimeout }
+// ReaderTimeout returns how long the reader of a body may take no byte.
+func (re *Registry) ReaderTimeout() time.Duration { return re.opts.ReaderTimeout }
 
 // Offer registers a body for one fetch.
 func (re *Registry) Offer(body Body) *Offer {
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -366,6 +366,43 @@
 	<-drained
 }
 
+// TestReaderMayBeSlowerThanTheSource guards against a body that ends with the stall time-out
+// of its source while its reader, which has a longer one, is slow. A source that goes silent
+// afterwards must still end it.
+func TestReaderMayBeSlowerThanTheSource(t *testing.T) {
+	fi := newFixture(t, func(opts *stream.Options) { opts.ReaderTimeout = waitTimeout })
+	for name, open := range fi.openers() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const size = 16 << 20 // More than the buffers on the way hold.
+			silent, into := io.Pipe()
+			defer func() { _ = into.Close() }()
+			of, ended := fi.offer(io.MultiReader(io.LimitReader(endless{}, size), silent), -1)
+			rd, err := open(of.Token)
+			is.NoErr(err)
+			defer func() { _ = rd.Close() }()
+			for range 3 {
+				_, err = io.CopyN(io.Discard, rd, stream.BufferSize)
+				is.NoErr(err)
+				time.Sleep(2 * stallTimeout)
+			}
+			_, err = io.CopyN(io.Discard, rd, size-3*stream.BufferSize)
+			is.NoErr(err)
+			began := time.Now()
+			failed := make(chan error, 1)
+			go func() {
+				_, err := rd.Read(make([]byte, 1))
+				failed <- err
+			}()
+			err = awaitEnd(t, ended)
+			is.True(errors.Is(err, stream.ErrSourceStalled) || errors.Is(err, stream.ErrPeer)) // Either side may be first.
+			is.True(time.Since(began) < waitTimeout/2)
+			is.NoErr(into.Close()) // Ends a Read in progress, as the owner of a source does.
+			is.True(<-failed != nil)
+		})
+	}
+}
+
 // BenchmarkTransfer measures the throughput of a body of 64 MiB over one stream.
 func BenchmarkTransfer(b *testing.B) {
 	fi := newFixture(b, func(opts *stream.Options) { opts.FetchTimeout, opts.StallTimeout = waitTimeout, waitTimeout })
--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -109,7 +109,7 @@
 	for {
 		count, err := of.Read(buf[:])
 		if errors.Is(err, io.EOF) { // The stall timer has ended with the source.
-			_ = control.SetWriteDeadline(time.Now().Add(of.registry.opts.StallTimeout))
+			_ = control.SetWriteDeadline(time.Now().Add(of.registry.opts.ReaderTimeout))
 		}
 		if count > 0 {
 			if err := writeAndFlush(wr, control, buf[:count]); err != nil {
@@ -148,7 +148,9 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	ended bool
+	// awaitsReader is set while the timer runs for the caller of Read.
+	awaitsReader bool
+	ended        bool
 	// release frees the source.
 	release func()
 	// unfollow detaches the Reader from the context that it follows.
@@ -156,8 +158,9 @@
 }
 
 // Open begins to fetch the body that the process at an address offers under a token. The
-// Reader ends with an error if the context ends before the last byte was read, or if no
-// progress is made within the stall timeout.
+// Reader ends with an error if the context ends before the last byte was read, if the source
+// makes no progress within the stall timeout, or if Read isn't called within the reader
+// timeout.
 func (re *Registry) Open(ctx context.Context, address, token string) (*Reader, error) {
 	rd := &Reader{registry: re, openedAt: time.Now()}
 	rd.ctx, rd.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
@@ -249,12 +252,13 @@
 	if err := context.Cause(rd.ctx); err != nil {
 		return 0, err
 	}
+	rd.awaitSource()
 	rd.reading.Store(true)
 	count, err := rd.source.Read(data)
 	rd.reading.Store(false)
 	rd.moved.Add(int64(count))
 	if count > 0 {
-		rd.touch()
+		rd.awaitReader()
 	}
 	switch {
 	case errors.Is(err, io.EOF):
@@ -273,14 +277,26 @@
 	return nil
 }
 
-func (rd *Reader) touch() {
+// awaitSource starts the timer for the source, unless it runs since the last progress.
+func (rd *Reader) awaitSource() {
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
-	if !rd.ended {
+	if !rd.ended && rd.awaitsReader {
+		rd.awaitsReader = false
 		rd.timer.Reset(rd.registry.opts.StallTimeout)
 	}
 }
 
+// awaitReader starts the timer for the caller of Read after progress.
+func (rd *Reader) awaitReader() {
+	rd.mu.Lock()
+	defer rd.mu.Unlock()
+	if !rd.ended {
+		rd.awaitsReader = true
+		rd.timer.Reset(rd.registry.opts.ReaderTimeout)
+	}
+}
+
 func (rd *Reader) expire() {
 	if rd.reading.Load() {
 		rd.abort(ErrSourceStalled)
