fix(link): a late answer frees the slot that it holds

What callers saw: an upstream's slot stayed taken for 5 s after a call to its gate was given up, if the gate's answer offered a large body nevertheless.

Cause: the link drops the response to a call that was given up, and with it the token of the body, so nobody fetches it until the fetch timeout has passed.

Change: CallWithLate passes such a response to a function, and the runner of a daemon fetches and closes the body. The peer responds to each call that it gets, so an entry stays until then or until the connection ends. Ruled out: a time limit for the entries, which would need a timer for each call, and ending the offer at the gate when the cancellation arrives, which may be dropped if the send queue is full.

Not covered: a link that ends before the answer arrives; the slot is then held for the fetch timeout, as before.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -172,7 +172,7 @@
 	ingressOpts := ingress.Options{
 		Bodies: bodies, Streams: da.streams,
 		Clock: opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
-		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
+		Runner:   da.newRunner(),
 		Services: opts.ServiceTokens, Quota: da.quota, View: da.fleet.View, Zone: opts.Config.Zone,
 		SettingsConfirmed: func() bool { return da.follower.IsConfirmed() },
 	}
--- a/cactusd/daemon/runner.go
+++ b/cactusd/daemon/runner.go
@@ -16,6 +16,9 @@
 	self string
 	gate *gate.Gate
 	pool *link.Pool
+	// discard ends a body that the daemon at an address offers and that nobody reads. It is
+	// nil if the daemon fetches no streams.
+	discard func(address, token string)
 }
 
 // Run runs one attempt at the gate of an endpoint.
@@ -27,7 +30,11 @@
 		return link.Call[wire.RunRequest, wire.RunAnswer](ctx, ru.pool, endpoint.PeerAddress, wire.MethodRun, req)
 	}
 	streamed := wire.StreamRunRequest{Run: req, Body: req.BodyStream, Accepts: req.AcceptsStream}
-	answer, err := link.Call[wire.StreamRunRequest, wire.StreamRunAnswer](ctx, ru.pool, endpoint.PeerAddress, wire.MethodRunStream, streamed)
+	answer, err := link.CallWithLate(ctx, ru.pool, endpoint.PeerAddress, wire.MethodRunStream, streamed, func(late wire.StreamRunAnswer) {
+		if late.Body != nil && ru.discard != nil {
+			ru.discard(endpoint.PeerAddress, late.Body.Token) // Its upstream's slot is taken until then.
+		}
+	})
 	var remote *link.RemoteError
 	if errors.As(err, &remote) && remote.Code == "noMethod" && req.BodyStream == nil {
 		// An older version has replaced the daemon since its record was written.
@@ -54,3 +61,12 @@
 	}
 	_ = link.Notify(ctx, ru.pool, endpoint.PeerAddress, wire.MethodWithdraw, wit)
 }
+
+// newRunner returns the runner of a daemon.
+func (da *Daemon) newRunner() *runner {
+	ru := &runner{self: da.opts.Config.ID, gate: da.gate, pool: da.pool}
+	if da.streams != nil {
+		ru.discard = da.streams.Discard
+	}
+	return ru
+}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -59,6 +59,10 @@
 	// that run.
 	pendingCalls map[uint64]*pendingCall
 	cancelFuncs  map[uint64]context.CancelFunc
+	// lateCalls holds the functions that get the late responses to calls that were given
+	// up. The peer responds to every call that it gets, so an entry stays until then or
+	// until the connection ends.
+	lateCalls map[uint64]func(body []byte)
 }
 
 // outgoing is a queued frame. The state is nil unless the frame is a call. isOwed is
@@ -87,6 +91,7 @@
 		callSlots:    make(chan struct{}, maxCallsInFlight),
 		pendingCalls: make(map[uint64]*pendingCall),
 		cancelFuncs:  make(map[uint64]context.CancelFunc),
+		lateCalls:    make(map[uint64]func([]byte)),
 	}
 }
 
@@ -102,7 +107,9 @@
 	co.close()
 }
 
-func (co *conn) call(ctx context.Context, method string, body []byte) ([]byte, error) {
+// call calls a method of the peer. onLate may be nil; otherwise it gets the body of a
+// response that arrives after the call was given up.
+func (co *conn) call(ctx context.Context, method string, body []byte, onLate func([]byte)) ([]byte, error) {
 	timeout := DefaultTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
@@ -131,6 +138,9 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrClosed)
 	}
 	resp, err := co.awaitResponse(ctx, id, pending)
+	if onLate != nil && errors.Is(err, ErrLost) {
+		co.expectLate(id, pending, onLate)
+	}
 	if errors.Is(err, context.DeadlineExceeded) && co.isQuietSince(sentAt) {
 		go co.checkSilence()
 	}
@@ -380,14 +390,43 @@
 	}
 }
 
-// deliverResponse passes a response to its call. Late and duplicate responses are
-// dropped.
+// expectLate passes the response to a call that was given up to onLate, once it arrives.
+func (co *conn) expectLate(id uint64, pending *pendingCall, onLate func([]byte)) {
+	co.mu.Lock()
+	_, isPending := co.pendingCalls[id]
+	if isPending && !co.ended {
+		co.lateCalls[id] = onLate
+	}
+	co.mu.Unlock()
+	if isPending {
+		return
+	}
+	select {
+	case resp := <-pending.response: // It arrived just after the call was given up.
+		co.deliverLate(resp, onLate)
+	case <-co.closed:
+	}
+}
+
+// deliverLate passes on a response to a call that was given up. Errors hold nothing.
+func (co *conn) deliverLate(resp frame, onLate func([]byte)) {
+	if resp.Error == nil {
+		go onLate(resp.Body)
+	}
+}
+
+// deliverResponse passes a response to its call. Duplicate responses are dropped, and so
+// are late ones that nobody expects.
 func (co *conn) deliverResponse(fra frame) {
 	co.mu.Lock()
-	pending := co.pendingCalls[fra.ID]
+	pending, onLate := co.pendingCalls[fra.ID], co.lateCalls[fra.ID]
 	delete(co.pendingCalls, fra.ID)
+	delete(co.lateCalls, fra.ID)
 	co.mu.Unlock()
-	if pending != nil {
+	switch {
+	case onLate != nil:
+		co.deliverLate(fra, onLate)
+	case pending != nil:
 		pending.response <- fra
 	}
 }
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -149,6 +149,20 @@
 
 // Call calls a method of the peer at an address and waits for the response.
 func Call[Req, Resp any](ctx context.Context, pool *Pool, address, method string, req Req) (Resp, error) {
+	return call[Req, Resp](ctx, pool, address, method, req, nil)
+}
+
+// CallWithLate is like Call. If the call is given up and the peer responds nevertheless, it
+// calls onLate with the response, so that what the response holds at the peer can be freed.
+func CallWithLate[Req, Resp any](ctx context.Context, pool *Pool, address, method string, req Req, onLate func(Resp)) (Resp, error) {
+	return call[Req, Resp](ctx, pool, address, method, req, func(body []byte) {
+		if resp, err := codec.Unmarshal[Resp](body); err == nil {
+			onLate(resp)
+		}
+	})
+}
+
+func call[Req, Resp any](ctx context.Context, pool *Pool, address, method string, req Req, onLate func([]byte)) (Resp, error) {
 	var none Resp
 	body, err := codec.Marshal(req)
 	if err != nil {
@@ -158,7 +172,7 @@
 	if err != nil {
 		return none, fmt.Errorf("call %s: %w: %w", method, ErrNotSent, err)
 	}
-	respBody, err := con.call(ctx, method, body)
+	respBody, err := con.call(ctx, method, body, onLate)
 	if err != nil {
 		return none, fmt.Errorf("call %s at %s: %w", method, address, err)
 	}
