fix(stream): a caller that leaves while its body waits isn't run

What callers saw: nothing, but an upstream got the head and a part of the body of requests whose callers had left while they waited for a slot, and the entry kept its place in the queue.

Cause: net/http notices the end of a connection only once the body was read, and a large body is read only once it has a slot.

Change: the ingress asks the kernel every 50 ms whether the connection of a waiting body has ended, and cancels the attempt. If the end lies behind bytes for which the socket had no room, it can't arrive; a body that has waited for 100 ms is therefore read ahead, up to 5 MB and within the memory for bodies, after the gate has asked for it and before the gate writes the head to the upstream. If the caller has gone, the gate answers as not run.

TestBodyOfAPatientCallerWaits guards the bytes that are read ahead.

Not covered: where the end can't arrive, the entry stays until it gets the slot or its deadline passes. docs/design/streams.md says what was ruled out.

--- a/cactusd/internal/ingress/body.go
+++ b/cactusd/internal/ingress/body.go
@@ -11,6 +11,7 @@
 	"cactusstream.example/cactusd/internal/wire"
 	"cactusstream.example/core/bodybuffer"
 	"cactusstream.example/core/outcome"
+	"cactusstream.example/core/process"
 	"cactusstream.example/core/stream"
 )
 
@@ -30,8 +31,13 @@
 	length  int64
 	bodies  *bodybuffer.Buffer
 	control *http.ResponseController
-	// held is the memory of what was read before the body turned out to be large.
-	held []byte
+	// probe tells whether the caller is still there, and is nil if that isn't known.
+	probe   *process.Probe
+	account *bodybuffer.Account
+	// held is the memory of what was read before the body turned out to be large, and ahead
+	// that of what was read ahead, which is set before the body is read.
+	held  []byte
+	ahead []byte
 
 	mu sync.Mutex
 	// offer is the last offer of the body to a gate, or nil.
@@ -45,6 +51,8 @@
 	isWhole bool
 
 	state sync.Mutex
+	// closed is set once the request has ended.
+	closed bool
 	// read is set when the last byte was read, and err is the error that reading ended
 	// with otherwise.
 	read bool
@@ -77,7 +85,10 @@
 	}
 	control := http.NewResponseController(wr)
 	_ = control.EnableFullDuplex() // An answer may begin before the body is read.
-	req.body = &callerBody{reader: &bodyReader{start: held, rest: rest, limit: int64(limit)}, length: length, bodies: in.opts.Bodies, control: control, held: held}
+	req.body = &callerBody{
+		reader: &bodyReader{start: held, rest: rest, limit: int64(limit)}, length: length, bodies: in.opts.Bodies, control: control,
+		probe: process.ProbeOf(httpReq.Context()), account: bodybuffer.AccountOf(httpReq.Context()), held: held,
+	}
 	return nil, nil
 }
 
@@ -203,7 +214,13 @@
 	case !chosen.endpoint.Streams:
 		return nil, ca.readWhole(run)
 	}
-	ca.offer = in.opts.Streams.Offer(stream.Body{Reader: ca, Length: ca.length, Direction: stream.Request})
+	offeredAt := time.Now()
+	ca.offer = in.opts.Streams.Offer(stream.Body{Reader: ca, Length: ca.length, Direction: stream.Request, Prepare: func() error {
+		if time.Since(offeredAt) < waitedTime {
+			return nil
+		}
+		return ca.readAhead()
+	}})
 	run.BodyStream = &wire.Stream{Token: ca.offer.Token, Address: in.opts.Streams.Address(), Length: ca.length}
 	return ca.offer, nil
 }
@@ -237,6 +254,7 @@
 	ca.mu.Unlock()
 	ca.bodies.Release(ca.held)
 	ca.bodies.Release(whole)
+	ca.releaseAhead()
 	if !ca.isRead() {
 		_ = ca.control.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -234,6 +234,9 @@
 	req.answers.caller = httpReq.Context()
 	ctx, cancel := context.WithDeadline(httpReq.Context(), req.deadline)
 	defer cancel()
+	if req.body != nil {
+		go req.body.watchCaller(ctx, cancel)
+	}
 	var answer wire.RunAnswer
 	if req.policy.Idempotent {
 		answer = in.runIdempotent(ctx, req)
--- a/core/process/unsent_linux.go
+++ b/core/process/unsent_linux.go
@@ -13,11 +13,7 @@
 	if !ok {
 		return 0
 	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	unsent := 0
-	_ = raw.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	control(sys, func(fd int) { unsent, _ = unix.IoctlGetInt(fd, unix.TIOCOUTQ) })
 	return unsent
 }
--- a/core/stream/offer.go
+++ b/core/stream/offer.go
@@ -21,6 +21,9 @@
 	// Length is the number of bytes, or -1 if it is not known.
 	Length    int64
 	Direction Direction
+	// Prepare is called when a peer has begun to fetch the body, before it is told that it
+	// gets it. If it returns an error, the peer gets nothing. It may be nil.
+	Prepare func() error
 	// OnEnd is called once, with nil when the last byte was read from Reader, and else
 	// with the reason why the rest will not be read. A Read that is in progress may go
 	// on after an error.
@@ -76,6 +79,19 @@
 	return true
 }
 
+// prepare prepares a body that was taken. After an error the stream has ended.
+func (of *Offer) prepare() error {
+	if of.body.Prepare == nil {
+		return nil
+	}
+	if err := of.body.Prepare(); err != nil {
+		err = fmt.Errorf("%w: %w", ErrSource, err)
+		of.end(err)
+		return err
+	}
+	return nil
+}
+
 // onInterrupt sets the function that ends a write in progress.
 func (of *Offer) onInterrupt(interrupt func()) {
 	of.mu.Lock()
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -220,7 +220,7 @@
 	return list
 }
 
-// take marks the body under a token as fetched and returns it.
+// take marks the body under a token as fetched, prepares it and returns it.
 func (re *Registry) take(token string) (*Offer, error) {
 	re.mu.Lock()
 	of := re.offers[token]
@@ -228,6 +228,9 @@
 	if of == nil || !of.take() {
 		return nil, ErrUnknown
 	}
+	if err := of.prepare(); err != nil {
+		return nil, err
+	}
 	return of, nil
 }
 
