fix(process): heads received over TLS are charged

Under TLS, heads of many short fields were not charged to the memory budget, their lines were not limited to 4,096, and bodies that stop short ended with the connection limit only.

Cause: the accounts were under TLS, where the connection sees only records.

Change: the guarded connection is on top of TLS, so it sees what net/http reads and writes, and the exceptions for TLS are gone. What concerns the socket (send buffer, linger, unacknowledged bytes, reset) uses the accepted connection. The handshake is now a part of the first read, within the time for a head. No handler uses http.Request.TLS, which is no longer set.

Ruled out: charging records while a head is read, since the lines that they hold are not known and the worst case charges 36 bytes for each.

--- a/core/process/guard.go
+++ b/core/process/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -73,19 +74,22 @@
 // Bodies returns the memory budget.
 func (gu *Guard) Bodies() *bodybuffer.Buffer { return gu.budget }
 
-// listener returns a listener whose connections have accounts. A nil Guard leaves the
-// listener as it is.
-func (gu *Guard) listener(lis net.Listener, isTLS bool) net.Listener {
-	if gu == nil {
-		return lis
+// listener returns a listener whose connections have accounts, and use TLS unless cfg is nil.
+// A nil Guard opens no accounts.
+func (gu *Guard) listener(lis net.Listener, cfg *tls.Config) net.Listener {
+	switch {
+	case gu != nil:
+		return &guardedListener{Listener: lis, guard: gu, tls: cfg}
+	case cfg != nil:
+		return tls.NewListener(lis, cfg)
 	}
-	return &guardedListener{Listener: lis, guard: gu, isTLS: isTLS}
+	return lis
 }
 
 type guardedListener struct {
 	net.Listener
 	guard *Guard
-	isTLS bool
+	tls   *tls.Config
 }
 
 // Accept returns the next connection that the limits admit.
@@ -95,7 +99,7 @@
 		if err != nil {
 			return nil, err //nolint:wrapcheck // net/http looks at the error of the listener.
 		}
-		if guarded := gl.guard.admit(con, gl.isTLS); guarded != nil {
+		if guarded := gl.guard.admit(con, gl.tls); guarded != nil {
 			return guarded, nil
 		}
 		gl.guard.count("refused." + string(bodybuffer.ReasonConnections))
@@ -103,9 +107,14 @@
 	}
 }
 
-// admit opens the account of a connection. It returns nil if there is none left.
-func (gu *Guard) admit(con net.Conn, isTLS bool) *guardedConn {
-	co := &guardedConn{Conn: con, guard: gu, isTLS: isTLS}
+// admit opens the account of a connection. It returns nil if there is none left. What is
+// charged is what net/http gets, behind TLS. The handshake is a part of the first read, and
+// so has to end within the time for a head.
+func (gu *Guard) admit(con net.Conn, cfg *tls.Config) *guardedConn {
+	co := &guardedConn{Conn: con, socket: con, guard: gu}
+	if cfg != nil {
+		co.Conn = tls.Server(con, cfg)
+	}
 	co.account = gu.budget.Open(func(reason bodybuffer.Reason) {
 		gu.count("closed." + string(reason))
 		if co.inHead.Load() {
@@ -193,19 +202,10 @@
 	_ = con.Close()
 }
 
-// guardedOf returns the guarded connection under a connection of net/http, or nil.
-func guardedOf(con net.Conn) *guardedConn {
-	if secure, ok := con.(interface{ NetConn() net.Conn }); ok {
-		con = secure.NetConn()
-	}
-	co, _ := con.(*guardedConn)
-	return co
-}
-
 // setGuardState is the ConnState callback of a guarded server.
 func setGuardState(con net.Conn, state http.ConnState) {
-	co := guardedOf(con)
-	if co == nil {
+	co, ok := con.(*guardedConn)
+	if !ok {
 		return
 	}
 	switch state {
@@ -224,7 +224,7 @@
 
 // withAccount is the ConnContext callback of a guarded server.
 func withAccount(ctx context.Context, con net.Conn) context.Context {
-	if co := guardedOf(con); co != nil {
+	if co, ok := con.(*guardedConn); ok {
 		return bodybuffer.WithAccount(context.WithValue(ctx, connKey{}, co), co.account)
 	}
 	return ctx
--- a/core/process/guardedconn.go
+++ b/core/process/guardedconn.go
@@ -72,9 +72,10 @@
 // guardedConn is a connection whose reads and writes are charged to an account.
 type guardedConn struct {
 	net.Conn
+	// socket is the accepted connection, which is under Conn if that uses TLS.
+	socket  net.Conn
 	guard   *Guard
 	account *bodybuffer.Account
-	isTLS   bool
 	// released is set once the connection is closed or has become a link.
 	released atomic.Bool
 	// inHead is set until the head of the next request has been read.
@@ -94,10 +95,9 @@
 }
 
 // Read reads from the peer. A read of one byte is the one by which net/http notices that
-// the peer goes away while a request runs, and doesn't wait for the peer. It can't be told
-// apart under TLS, where no read during a request counts as waiting.
+// the peer goes away while a request runs, and doesn't wait for the peer.
 func (co *guardedConn) Read(data []byte) (int, error) {
-	if len(data) <= 1 || co.released.Load() || co.isTLS && !co.inHead.Load() {
+	if len(data) <= 1 || co.released.Load() {
 		return co.Conn.Read(data) //nolint:wrapcheck // net/http looks at the error.
 	}
 	co.account.Await()
@@ -108,7 +108,7 @@
 	}
 	if count > 0 && co.inHead.Load() {
 		if refusal := co.chargeHead(data[:count]); refusal != nil {
-			reset(co.Conn)
+			reset(co.socket)
 			return 0, refusal
 		}
 	}
@@ -118,7 +118,7 @@
 // chargeHead charges a part of a head before net/http parses it. A part that exceeds the
 // limits has not run.
 func (co *guardedConn) chargeHead(data []byte) error {
-	if co.isTLS || co.head.ended {
+	if co.head.ended {
 		return nil
 	}
 	lines := co.head.add(data)
@@ -142,7 +142,7 @@
 		held := cap(data) // The answer's array, of which data may be a part.
 		if !co.account.Reserve(held) {
 			co.guard.count("closed." + string(bodybuffer.ReasonMemory))
-			reset(co.Conn)
+			reset(co.socket)
 			return 0, errNoMemory
 		}
 		defer co.account.Return(held)
@@ -173,7 +173,7 @@
 	if co.written <= sendBuffer {
 		return
 	}
-	if sized, ok := co.Conn.(interface{ SetWriteBuffer(bytes int) error }); ok {
+	if sized, ok := co.socket.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		_ = sized.SetWriteBuffer(sendBuffer) // Without it, the reader only has to be faster.
 	}
 }
@@ -222,7 +222,7 @@
 // SetLinger sets what Close does with data that the peer has not acknowledged, as that of
 // net.TCPConn does. Handlers that take a connection over end it with a reset by it.
 func (co *guardedConn) SetLinger(seconds int) error {
-	tcp, ok := co.Conn.(interface{ SetLinger(seconds int) error })
+	tcp, ok := co.socket.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return net.ErrClosed
 	}
@@ -234,7 +234,7 @@
 
 // SyscallConn returns the raw connection.
 func (co *guardedConn) SyscallConn() (syscall.RawConn, error) {
-	raw, ok := co.Conn.(syscall.Conn)
+	raw, ok := co.socket.(syscall.Conn)
 	if !ok {
 		return nil, net.ErrClosed
 	}
@@ -249,7 +249,7 @@
 		co.unsent = 0
 		return
 	}
-	unsent := unsentBytes(co.Conn)
+	unsent := unsentBytes(co.socket)
 	if unsent < co.unsent {
 		co.account.Progress(co.unsent - unsent)
 	}
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -250,11 +250,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	se.listener, _ = lis.(*net.TCPListener)
-	if se.http.TLSConfig != nil {
-		lis = tls.NewListener(se.guard.listener(lis, true), se.http.TLSConfig)
-	} else {
-		lis = se.guard.listener(lis, false)
-	}
+	lis = se.guard.listener(lis, se.http.TLSConfig)
 	se.served = make(chan struct{})
 	go func() {
 		defer close(se.served)
