fix(stream): what is read ahead of waiting bodies is bounded

Up to 5 MB of each body that had waited for a slot were held until the end of its request, so that four of them could fill the memory for bodies. Now two bodies at a time are read ahead, and the memory is free once the bytes were passed on. A body that finds no place within 100 ms is passed on unchecked. A body whose request has ended meanwhile is not passed on at all.

--- a/cactusd/internal/ingress/body.go
+++ b/cactusd/internal/ingress/body.go
@@ -34,10 +34,10 @@
 	// probe tells whether the caller is still there, and is nil if that isn't known.
 	probe   *process.Probe
 	account *bodybuffer.Account
-	// held is the memory of what was read before the body turned out to be large, and ahead
-	// that of what was read ahead, which is set before the body is read.
-	held  []byte
-	ahead []byte
+	// held is the memory of what was read before the body turned out to be large.
+	held []byte
+	// aheadSlots holds an element for each body that is read ahead.
+	aheadSlots chan struct{}
 
 	mu sync.Mutex
 	// offer is the last offer of the body to a gate, or nil.
@@ -53,6 +53,9 @@
 	state sync.Mutex
 	// closed is set once the request has ended.
 	closed bool
+	// ahead is the memory of what was read ahead, while hasAhead is set.
+	ahead    []byte
+	hasAhead bool
 	// read is set when the last byte was read, and err is the error that reading ended
 	// with otherwise.
 	read bool
@@ -87,7 +90,7 @@
 	_ = control.EnableFullDuplex() // An answer may begin before the body is read.
 	req.body = &callerBody{
 		reader: &bodyReader{start: held, rest: rest, limit: int64(limit)}, length: length, bodies: in.opts.Bodies, control: control,
-		probe: process.ProbeOf(httpReq.Context()), account: bodybuffer.AccountOf(httpReq.Context()), held: held,
+		probe: process.ProbeOf(httpReq.Context()), account: bodybuffer.AccountOf(httpReq.Context()), held: held, aheadSlots: in.aheadSlots,
 	}
 	return nil, nil
 }
@@ -254,6 +257,9 @@
 	ca.mu.Unlock()
 	ca.bodies.Release(ca.held)
 	ca.bodies.Release(whole)
+	ca.state.Lock()
+	ca.closed = true
+	ca.state.Unlock()
 	ca.releaseAhead()
 	if !ca.isRead() {
 		_ = ca.control.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/cactusd/internal/ingress/callergone.go
+++ b/cactusd/internal/ingress/callergone.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +23,9 @@
 	aheadTime  = 100 * time.Millisecond
 	aheadPause = 5 * time.Millisecond
 	aheadPoll  = time.Millisecond
+	// maxAheadBodies limits how many bodies are read ahead at once. Two take less than half
+	// of the memory for bodies, and each is passed on at once.
+	maxAheadBodies = 2
 )
 
 var errCallerGone = errors.New("ingress: the caller has closed its connection")
@@ -65,37 +67,71 @@
 
 // readAhead reads what has arrived of a body that has waited, before it is passed on, and
 // returns an error if the caller has gone. The upstream has seen nothing of the request then.
+// If too many others are read ahead, the body is passed on unchecked.
 func (ca *callerBody) readAhead() error {
-	if ca.probe == nil {
+	if ca.probe == nil || !ca.acquireAhead() {
 		return nil
 	}
 	arrived := &arrivedReader{body: ca, left: maxAheadBytes, end: time.Now().Add(aheadTime)}
 	start, _, err := ca.bodies.ReadStart(ca.account, arrived, maxAheadBytes+1)
 	if err != nil {
+		<-ca.aheadSlots
 		return fmt.Errorf("read ahead: %w", err)
 	}
 	ca.state.Lock()
-	if ca.closed {
-		ca.bodies.Release(start)
-		start = nil
-	}
-	ca.ahead = start
+	ca.ahead, ca.hasAhead = start, true
+	closed := ca.closed
 	ca.state.Unlock()
-	if ca.probe.HasEnded() {
+	if closed || ca.probe.HasEnded() {
+		ca.releaseAhead()
 		ca.fail(errCallerGone)
 		return errCallerGone
 	}
-	ca.reader = io.MultiReader(bytes.NewReader(start), ca.reader)
+	ca.reader = io.MultiReader(&aheadReader{body: ca, start: start}, ca.reader)
 	return nil
 }
 
+// acquireAhead waits until one more body may be read ahead. It returns false if that takes
+// too long.
+func (ca *callerBody) acquireAhead() bool {
+	timer := time.NewTimer(aheadTime)
+	defer timer.Stop()
+	select {
+	case ca.aheadSlots <- struct{}{}:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // releaseAhead frees what was read ahead.
 func (ca *callerBody) releaseAhead() {
 	ca.state.Lock()
 	defer ca.state.Unlock()
-	ca.closed = true
+	if !ca.hasAhead {
+		return
+	}
 	ca.bodies.Release(ca.ahead)
-	ca.ahead = nil
+	ca.ahead, ca.hasAhead = nil, false
+	<-ca.aheadSlots
+}
+
+// aheadReader reads what was read ahead, and frees it once it was passed on.
+type aheadReader struct {
+	body  *callerBody
+	start []byte
+}
+
+// Read returns io.EOF at the end of what was read ahead.
+func (ah *aheadReader) Read(data []byte) (int, error) {
+	if len(ah.start) == 0 {
+		ah.start = nil
+		ah.body.releaseAhead()
+		return 0, io.EOF
+	}
+	count := copy(data, ah.start)
+	ah.start = ah.start[count:]
+	return count, nil
 }
 
 // arrivedReader reads as much of a body as arrives without a pause.
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -98,6 +98,8 @@
 	throttles     sync.Map     // *throttle.Throttle by throttleKey.
 	usage         usage
 	sizes         placement.Sizes
+	// aheadSlots bounds the bodies that are read ahead. See callerBody.
+	aheadSlots chan struct{}
 }
 
 // shutdown is the time span in which the daemon shuts down. Requests that still run at
@@ -175,7 +177,7 @@
 
 // New returns an Ingress.
 func New(opts Options) *Ingress {
-	return &Ingress{opts: opts, started: opts.Clock.Now(), tracker: newTracker()}
+	return &Ingress{opts: opts, started: opts.Clock.Now(), tracker: newTracker(), aheadSlots: make(chan struct{}, maxAheadBodies)}
 }
 
 // Stop tells the ingress that the daemon shuts down and aborts the requests that still
