--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -147,7 +147,7 @@
 	da.pool = link.NewPool(opts.Config.ID, opts.FleetTokens, mux, link.WithTLS(opts.TLS.Client()))
 	da.links = link.NewServer(mux, opts.FleetTokens, da.logRefusedCredentials)
 	if !opts.OmitStreams {
-		da.streams = stream.New(stream.Options{Address: opts.Config.PeerAddress, Log: opts.Log, Metrics: da.metrics, Tokens: opts.FleetTokens, OnUnauthorized: da.logRefusedCredentials, TLS: opts.TLS.Client()})
+		da.streams = stream.New(stream.Options{Address: opts.Config.PeerAddress, Log: opts.Log, Metrics: da.metrics, Tokens: opts.FleetTokens, OnUnauthorized: da.logRefusedCredentials, TLS: opts.TLS.Client(), ReaderTimeout: opts.Config.Limits.Stall})
 	}
 	var err error
 	da.fleet, err = fleet.New(fleet.Options{
@@ -173,7 +173,7 @@
 	ingressOpts := ingress.Options{
 		Bodies: bodies, Streams: da.streams,
 		Clock: opts.Clock, Dialect: opts.Callers, Firm: opts.Firm, Replica: da.replica, Log: opts.Log, Metrics: da.metrics, Place: opts.Place,
-		Runner:   &runner{self: opts.Config.ID, gate: da.gate, pool: da.pool},
+		Runner:   da.newRunner(),
 		Services: opts.ServiceTokens, Quota: da.quota, View: da.fleet.View, Zone: opts.Config.Zone,
 		SettingsConfirmed: func() bool { return da.follower.IsConfirmed() },
 	}
--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -98,6 +98,8 @@
 	throttles     sync.Map     // *throttle.Throttle by throttleKey.
 	usage         usage
 	sizes         placement.Sizes
+	// aheadSlots bounds the bodies that are read ahead. See callerBody.
+	aheadSlots chan struct{}
 }
 
 // shutdown is the time span in which the daemon shuts down. Requests that still run at
@@ -175,7 +177,7 @@
 
 // New returns an Ingress.
 func New(opts Options) *Ingress {
-	return &Ingress{opts: opts, started: opts.Clock.Now(), tracker: newTracker()}
+	return &Ingress{opts: opts, started: opts.Clock.Now(), tracker: newTracker(), aheadSlots: make(chan struct{}, maxAheadBodies)}
 }
 
 // Stop tells the ingress that the daemon shuts down and aborts the requests that still
@@ -239,6 +241,9 @@
 	req.answers.caller = httpReq.Context()
 	ctx, cancel := context.WithDeadline(httpReq.Context(), req.deadline)
 	defer cancel()
+	if req.body != nil {
+		go req.body.watchCaller(ctx, cancel)
+	}
 	var answer wire.RunAnswer
 	if req.policy.Idempotent {
 		answer = in.runIdempotent(ctx, req)
--- a/core/process/guardedconn.go
+++ b/core/process/guardedconn.go
@@ -25,6 +25,11 @@
 	smallWrite = 4 << 10
 	// writePiece is the size of the pieces in which a large answer is written, in bytes.
 	writePiece = 64 << 10
+	// sendBuffer is the size of the send buffer of a connection that gets a large answer, in
+	// bytes. By default a kernel lets it grow to 4 MB, and takes more only once a third of it
+	// is free, so that a slow reader's progress is hidden for longer than a stall may take.
+	// It is enough for 37 MB/s at a round trip of 3.5 ms.
+	sendBuffer = 128 << 10
 	// maxAhead is the number of requests that a peer may send in a row without waiting for
 	// an answer. The answer to the last one ends the connection.
 	maxAhead = 100
@@ -67,9 +72,10 @@
 // guardedConn is a connection whose reads and writes are charged to an account.
 type guardedConn struct {
 	net.Conn
+	// socket is the accepted connection, which is under Conn if that uses TLS.
+	socket  net.Conn
 	guard   *Guard
 	account *bodybuffer.Account
-	isTLS   bool
 	// released is set once the connection is closed or has become a link.
 	released atomic.Bool
 	// inHead is set until the head of the next request has been read.
@@ -81,15 +87,17 @@
 	ahead int
 	// lingers is set if the connection ends because of pipelining.
 	lingers atomic.Bool
+	// written counts the bytes that were written until the send buffer was limited. Writes
+	// don't run concurrently.
+	written int
 	writing atomic.Bool
 	unsent  int // Used by the sweep only.
 }
 
 // Read reads from the peer. A read of one byte is the one by which net/http notices that
-// the peer goes away while a request runs, and doesn't wait for the peer. It can't be told
-// apart under TLS, where no read during a request counts as waiting.
+// the peer goes away while a request runs, and doesn't wait for the peer.
 func (co *guardedConn) Read(data []byte) (int, error) {
-	if len(data) <= 1 || co.released.Load() || co.isTLS && !co.inHead.Load() {
+	if len(data) <= 1 || co.released.Load() {
 		return co.Conn.Read(data) //nolint:wrapcheck // net/http looks at the error.
 	}
 	co.account.Await()
@@ -100,7 +108,7 @@
 	}
 	if count > 0 && co.inHead.Load() {
 		if refusal := co.chargeHead(data[:count]); refusal != nil {
-			reset(co.Conn)
+			reset(co.socket)
 			return 0, refusal
 		}
 	}
@@ -110,7 +118,7 @@
 // chargeHead charges a part of a head before net/http parses it. A part that exceeds the
 // limits has not run.
 func (co *guardedConn) chargeHead(data []byte) error {
-	if co.isTLS || co.head.ended {
+	if co.head.ended {
 		return nil
 	}
 	lines := co.head.add(data)
@@ -134,11 +142,12 @@
 		held := cap(data) // The answer's array, of which data may be a part.
 		if !co.account.Reserve(held) {
 			co.guard.count("closed." + string(bodybuffer.ReasonMemory))
-			reset(co.Conn)
+			reset(co.socket)
 			return 0, errNoMemory
 		}
 		defer co.account.Return(held)
 	}
+	co.limitSendBuffer(len(data))
 	written := 0
 	for {
 		piece := data[written:min(len(data), written+writePiece)]
@@ -154,6 +163,21 @@
 	}
 }
 
+// limitSendBuffer limits the send buffer once more is written than it holds, so that
+// ordinary connections, and those that become links, keep the kernel's.
+func (co *guardedConn) limitSendBuffer(count int) {
+	if co.written > sendBuffer {
+		return
+	}
+	co.written += count
+	if co.written <= sendBuffer {
+		return
+	}
+	if sized, ok := co.socket.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = sized.SetWriteBuffer(sendBuffer) // Without it, the reader only has to be faster.
+	}
+}
+
 // begin marks the start of a request.
 func (co *guardedConn) begin() {
 	co.inHead.Store(false)
@@ -198,7 +222,7 @@
 // SetLinger sets what Close does with data that the peer has not acknowledged, as that of
 // net.TCPConn does. Handlers that take a connection over end it with a reset by it.
 func (co *guardedConn) SetLinger(seconds int) error {
-	tcp, ok := co.Conn.(interface{ SetLinger(seconds int) error })
+	tcp, ok := co.socket.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return net.ErrClosed
 	}
@@ -210,7 +234,7 @@
 
 // SyscallConn returns the raw connection.
 func (co *guardedConn) SyscallConn() (syscall.RawConn, error) {
-	raw, ok := co.Conn.(syscall.Conn)
+	raw, ok := co.socket.(syscall.Conn)
 	if !ok {
 		return nil, net.ErrClosed
 	}
@@ -225,7 +249,7 @@
 		co.unsent = 0
 		return
 	}
-	unsent := unsentBytes(co.Conn)
+	unsent := unsentBytes(co.socket)
 	if unsent < co.unsent {
 		co.account.Progress(co.unsent - unsent)
 	}
--- a/core/stream/offer.go
+++ b/core/stream/offer.go
@@ -23,6 +23,9 @@
 	// Length is the number of bytes, or -1 if it is not known.
 	Length    int64
 	Direction Direction
+	// Prepare is called when a peer has begun to fetch the body, before it is told that it
+	// gets it. If it returns an error, the peer gets nothing. It may be nil.
+	Prepare func() error
 	// OnEnd is called once, with nil when the last byte was read from Reader, and else
 	// with the reason why the rest will not be read. A Read that is in progress may go
 	// on after an error.
@@ -43,9 +46,11 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	taken bool
-	ended bool
-	err   error
+	// awaitsReader is set while the timer runs for the reader of the body.
+	awaitsReader bool
+	taken        bool
+	ended        bool
+	err          error
 	// interrupt ends a write to the peer that is in progress.
 	interrupt func()
 }
@@ -71,11 +76,24 @@
 	if of.taken || of.ended {
 		return false
 	}
-	of.taken = true
-	of.timer.Reset(of.registry.opts.StallTimeout)
+	of.taken, of.awaitsReader = true, true
+	of.timer.Reset(of.registry.opts.ReaderTimeout)
 	return true
 }
 
+// prepare prepares a body that was taken. After an error the stream has ended.
+func (of *Offer) prepare() error {
+	if of.body.Prepare == nil {
+		return nil
+	}
+	if err := of.body.Prepare(); err != nil {
+		err = fmt.Errorf("%w: %w", ErrSource, err)
+		of.end(err)
+		return err
+	}
+	return nil
+}
+
 // onInterrupt sets the function that ends a write in progress.
 func (of *Offer) onInterrupt(interrupt func()) {
 	of.mu.Lock()
@@ -131,10 +149,11 @@
 	if err := of.finalError(); err != nil {
 		return 0, err
 	}
+	of.awaitSource()
 	count, err := of.readSource(data)
 	if count > 0 {
 		of.moved.Add(int64(count))
-		of.touch()
+		of.awaitReader()
 	}
 	// A peer that has all bytes of a known length may close the connection before the
 	// source has told its end.
@@ -169,15 +188,26 @@
 	return count, err
 }
 
-// touch records progress.
-func (of *Offer) touch() {
+// awaitSource starts the timer for the source, unless it runs since the last progress.
+func (of *Offer) awaitSource() {
 	of.mu.Lock()
 	defer of.mu.Unlock()
-	if !of.ended {
+	if !of.ended && of.awaitsReader {
+		of.awaitsReader = false
 		of.timer.Reset(of.registry.opts.StallTimeout)
 	}
 }
 
+// awaitReader starts the timer for the reader after progress.
+func (of *Offer) awaitReader() {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if !of.ended {
+		of.awaitsReader = true
+		of.timer.Reset(of.registry.opts.ReaderTimeout)
+	}
+}
+
 // finalError returns what a Read after the end returns, or nil if the stream is open.
 func (of *Offer) finalError() error {
 	of.mu.Lock()
