--- a/cactusd/internal/gate/gate.go
+++ b/cactusd/internal/gate/gate.go
@@ -91,8 +91,8 @@
 type Gate struct {
 	opts     Options
 	departed *departures
-	// allowance bounds what all guards learn about the costs of requests.
-	allowance *workcost.Allowance
+	// costNodes bounds what all guards learn about the costs of requests.
+	costNodes *workcost.NodeBudget
 
 	mu       sync.Mutex
 	stopping bool
@@ -113,7 +113,7 @@
 
 // New returns a Gate without upstreams.
 func New(opts Options) *Gate {
-	return &Gate{opts: opts, departed: &departures{}, allowance: workcost.NewAllowance(workcost.NodesPerDaemon), guards: make(map[string]*guard)}
+	return &Gate{opts: opts, departed: &departures{}, costNodes: workcost.NewNodeBudget(workcost.NodesPerDaemon), guards: make(map[string]*guard)}
 }
 
 // concurrency returns the maximum number of concurrent requests to the
@@ -334,7 +334,7 @@
 		return false, ErrDeparted
 	}
 	if gu == nil {
-		ga.guards[ann.ID] = newGuard(ann, ga.opts, ga.departed, ga.allowance)
+		ga.guards[ann.ID] = newGuard(ann, ga.opts, ga.departed, ga.costNodes)
 		return true, nil
 	}
 	if !gu.ann.StartedAt.IsZero() && !ann.StartedAt.Equal(gu.ann.StartedAt) {
@@ -360,7 +360,7 @@
 		return false, ErrSuperseded
 	}
 	known := gu.displace(ann)
-	next := newGuard(ann, ga.opts, ga.departed, ga.allowance)
+	next := newGuard(ann, ga.opts, ga.departed, ga.costNodes)
 	next.rivals.inherit(known)
 	ga.guards[ann.ID] = next
 	return true, nil
--- a/cactusd/internal/gate/guard.go
+++ b/cactusd/internal/gate/guard.go
@@ -78,7 +78,7 @@
 	work      *workload
 }
 
-func newGuard(ann Announcement, opts Options, departed *departures, allowance *workcost.Allowance) *guard {
+func newGuard(ann Announcement, opts Options, departed *departures, costNodes *workcost.NodeBudget) *guard {
 	policy := opts.Policy(ann.Service)
 	now := opts.Clock.Now()
 	gu := &guard{
@@ -95,7 +95,7 @@
 		renewedAt:   now,
 		sequence:    ann.Sequence,
 		limit:       noLimit,
-		work:        newWorkload(allowance),
+		work:        newWorkload(costNodes),
 	}
 	gu.configureWork(policy)
 	gu.rivals.begin(now, ann.StartedAt)
--- a/cactusd/internal/gate/work.go
+++ b/cactusd/internal/gate/work.go
@@ -30,8 +30,8 @@
 	expected  workcost.Expectation
 }
 
-func newWorkload(allowance *workcost.Allowance) *workload {
-	return &workload{estimator: workcost.New(allowance), running: make(map[*runningWork]struct{})}
+func newWorkload(budget *workcost.NodeBudget) *workload {
+	return &workload{estimator: workcost.New(budget), running: make(map[*runningWork]struct{})}
 }
 
 // configureWork applies the settings. What was learned is dropped when they switch the
--- a/cactusd/internal/ingress/organisation.go
+++ b/cactusd/internal/ingress/organisation.go
@@ -15,7 +15,7 @@
 	// Take asks for one request of an organisation. A refusal says when a request is
 	// likely to be admitted.
 	Take(ctx context.Context, org *settings.Organisation) quota.Verdict
-	// Return gives back what was taken for a request that has not run.
+	// Return returns the token of a request that has not run.
 	Return(org *settings.Organisation)
 	// Preview returns the verdict that Take would give now, and takes nothing.
 	Preview(ctx context.Context, org *settings.Organisation) quota.Preview
@@ -135,7 +135,7 @@
 	return answer
 }
 
-// returnQuota gives back what was taken for a request that has not run.
+// returnQuota returns the token of a request that has not run.
 func (in *Ingress) returnQuota(req *request) {
 	if req.hasQuota {
 		req.hasQuota = false
--- a/cactusd/internal/quota/quota.go
+++ b/cactusd/internal/quota/quota.go
@@ -158,7 +158,7 @@
 	qu.node.Cancel(id)
 }
 
-// Return gives back what was taken for a request that has not run.
+// Return returns the token of a request that has not run.
 func (qu *Quota) Return(org *settings.Organisation) {
 	if !(org.Rate > 0) {
 		return
--- a/core/workcost/node.go
+++ b/core/workcost/node.go
@@ -11,8 +11,8 @@
 	// NodesPerDaemon is the number of classes that the estimators of a daemon keep
 	// together: about 1 MB.
 	NodesPerDaemon = 8192
-	// ownNodes is the number of classes that an estimator keeps outside of its allowance,
-	// so that it can learn kinds when others have used the allowance up.
+	// ownNodes is the number of classes that an estimator keeps outside of its budget,
+	// so that it can learn kinds when others have used the budget up.
 	ownNodes = 64
 	// maxProfiles is the number of kinds whose distributions an estimator keeps.
 	maxProfiles = 256
@@ -24,29 +24,29 @@
 	minAsked = 20
 )
 
-// Allowance is the number of classes that estimators may still keep. It bounds the memory
+// NodeBudget is the number of classes that estimators may still keep. It bounds the memory
 // of all estimators of a daemon, and is safe for concurrent use.
-type Allowance struct{ left atomic.Int64 }
+type NodeBudget struct{ left atomic.Int64 }
 
-// NewAllowance returns an allowance of the given number of classes.
-func NewAllowance(nodes int) *Allowance {
-	al := &Allowance{}
-	al.left.Store(int64(nodes))
-	return al
+// NewNodeBudget returns a budget of the given number of classes.
+func NewNodeBudget(nodes int) *NodeBudget {
+	nb := &NodeBudget{}
+	nb.left.Store(int64(nodes))
+	return nb
 }
 
-func (al *Allowance) take() bool {
-	if al.left.Add(-1) >= 0 {
+func (nb *NodeBudget) take() bool {
+	if nb.left.Add(-1) >= 0 {
 		return true
 	}
-	al.left.Add(1)
+	nb.left.Add(1)
 	return false
 }
 
-// Close returns what the estimator has taken from its allowance. The estimator may be
+// Close returns what the estimator has taken from its budget. The estimator may be
 // used further; it has learned nothing.
 func (es *Estimator) Close() {
-	es.allowance.left.Add(int64(max(len(es.nodes)-ownNodes, 0)))
+	es.budget.left.Add(int64(max(len(es.nodes)-ownNodes, 0)))
 	clear(es.nodes)
 	clear(es.profiles)
 	es.slowdown = slowdown{factor: 1}
@@ -141,12 +141,12 @@
 }
 
 // node returns the node with a key. It creates it, in the place of another one if the
-// allowance is used up.
+// budget is used up.
 func (es *Estimator) node(now time.Time, key nodeKey) *node {
 	if no := es.nodes[key]; no != nil {
 		return no
 	}
-	if len(es.nodes) >= ownNodes && !es.allowance.take() {
+	if len(es.nodes) >= ownNodes && !es.budget.take() {
 		es.evict()
 	}
 	no := &node{lastAt: now}
--- a/core/workcost/replay_test.go
+++ b/core/workcost/replay_test.go
@@ -124,7 +124,7 @@
 	for i := range loa.Upstreams {
 		up := &upstream{
 			queue:   rankqueue.New(loa.Slots, rankqueue.Policy{Limit: 64, Share: [rankqueue.RankCount]int{40, 20, 10, 5}}),
-			work:    workcost.New(workcost.NewAllowance(workcost.NodesPerDaemon)),
+			work:    workcost.New(workcost.NewNodeBudget(workcost.NodesPerDaemon)),
 			running: make(map[*job]bool),
 			medians: map[string]*health.Latency{"k": {}, "l": {}},
 			speed:   func(time.Time) float64 { return 1 },
--- a/core/workcost/workcost.go
+++ b/core/workcost/workcost.go
@@ -15,7 +15,7 @@
 //
 // Usage, with the caller's lock held:
 //
-//	est := workcost.New(allowance)
+//	est := workcost.New(budget)
 //	exp := est.Expect(now, class)            // mean, median and spread
 //	est.Begin(now, class)                    // it has got a slot
 //	rest := est.Rest(exp, now.Sub(started))  // of a request that runs
@@ -85,7 +85,7 @@
 // Estimator learns the costs of the requests to one upstream. It is not safe for
 // concurrent use.
 type Estimator struct {
-	allowance *Allowance
+	budget *NodeBudget
 	nodes     map[nodeKey]*node
 	// profiles holds the distribution of the durations of each kind, relative to what
 	// was expected.
@@ -101,8 +101,8 @@
 }
 
 // New returns an Estimator that has learned nothing.
-func New(allowance *Allowance) *Estimator {
-	return &Estimator{allowance: allowance, nodes: make(map[nodeKey]*node), profiles: make(map[string]*profile), slowdown: slowdown{factor: 1}}
+func New(budget *NodeBudget) *Estimator {
+	return &Estimator{budget: budget, nodes: make(map[nodeKey]*node), profiles: make(map[string]*profile), slowdown: slowdown{factor: 1}}
 }
 
 // Expect returns the expected duration of a request that asks for a slot.
--- a/core/workcost/workcost_test.go
+++ b/core/workcost/workcost_test.go
@@ -15,7 +15,7 @@
 const ms = time.Millisecond
 
 func newEstimator() *workcost.Estimator {
-	return workcost.New(workcost.NewAllowance(workcost.NodesPerDaemon))
+	return workcost.New(workcost.NewNodeBudget(workcost.NodesPerDaemon))
 }
 
 // observe lets requests of a class end, one in 100 ms, and returns the time after.
@@ -159,8 +159,8 @@
 		return stats.HeapAlloc
 	}
 	before := measure()
-	allowance := workcost.NewAllowance(workcost.NodesPerDaemon)
-	estimators := []*workcost.Estimator{workcost.New(allowance), workcost.New(allowance)}
+	budget := workcost.NewNodeBudget(workcost.NodesPerDaemon)
+	estimators := []*workcost.Estimator{workcost.New(budget), workcost.New(budget)}
 	now := epoch
 	for i := range 60_000 {
 		class := workcost.Class{Kind: fmt.Sprint("kind", i%3900), Organisation: fmt.Sprint("organisation", i%20_000), Size: uint8(i % 8), Shape: uint32(i)}
@@ -175,11 +175,11 @@
 }
 
 // TestLateEstimatorLearns guards against an upstream that is announced when others have
-// used the allowance up, and of which nothing can be learned then.
+// used the budget up, and of which nothing can be learned then.
 func TestLateEstimatorLearns(t *testing.T) {
 	is := is.New(t)
-	allowance := workcost.NewAllowance(100)
-	first, second := workcost.New(allowance), workcost.New(allowance)
+	budget := workcost.NewNodeBudget(100)
+	first, second := workcost.New(budget), workcost.New(budget)
 	now := epoch
 	for i := range 1000 {
 		now = observe(first, now, workcost.Class{Kind: fmt.Sprint("kind", i)}, 100*ms, 1)
@@ -190,8 +190,8 @@
 	}
 	is.True(isNear(second.Expect(now, workcost.Class{Kind: "short"}).Mean, 100*ms))
 	is.True(isNear(second.Expect(now, workcost.Class{Kind: "long"}).Mean, 900*ms))
-	first.Close() // Its part of the allowance is free again.
-	third := workcost.New(allowance)
+	first.Close() // Its part of the budget is free again.
+	third := workcost.New(budget)
 	for i := range 30 {
 		now = observe(third, now, workcost.Class{Kind: fmt.Sprint("kind", i)}, 100*ms, 1)
 	}
