--- a/core/workcost/workcost.go
+++ b/core/workcost/workcost.go
@@ -86,7 +86,7 @@
 // concurrent use.
 type Estimator struct {
 	budget *NodeBudget
-	nodes     map[nodeKey]*node
+	nodes  map[nodeKey]*node
 	// profiles holds the distribution of the durations of each kind, relative to what
 	// was expected.
 	profiles map[string]*profile
