--- a/cactusd/daemon/stream_loss_test.go
+++ b/cactusd/daemon/stream_loss_test.go
@@ -337,6 +337,7 @@
 // testLostConnection runs a check for each way in which a connection is lost, and then
 // checks that both daemons have freed what they held and serve requests.
 func testLostConnection(t *testing.T, check func(t *testing.T, lp *lossPair, name string, hasLength bool, lose *loss)) {
+	t.Parallel()
 	// maxHeld is how long after the loss slots and streams may be held. A connection that
 	// is silent is lost after the stall timeout, which is over when the caller is answered
 	// or, if it was answered early, not yet.
