fix(platform): an empty memoryMB doesn't keep processes from starting

The templates of the deploy file take memoryMB from the platform's field. An empty value now means that the memory isn't known, as a missing key does.

--- a/core/configfile/configfile.go
+++ b/core/configfile/configfile.go
@@ -49,6 +49,8 @@
 	Name     string
 	Allowed  string
 	Required bool
+	// Optional means that an empty value is like no value.
+	Optional bool
 	set      func(string) error
 }
 
@@ -168,6 +170,12 @@
 	return nil
 }
 
+// Optional is an Option that makes an empty value mean that there is none, for keys whose
+// value a template fills in if it is known.
+func Optional(key *Key) {
+	key.Optional = true
+}
+
 // Required is an Option that makes a key mandatory.
 func Required(key *Key) {
 	key.Required = true
@@ -207,6 +215,9 @@
 	if len(entry.ValueWithShadows()) > 1 {
 		return Faults{{File: path, Section: section, Key: entry.Name(), Value: strings.Join(entry.ValueWithShadows(), ", "), Allowed: "one value"}}
 	}
+	if key.Optional && entry.Value() == "" {
+		return nil
+	}
 	if err := key.set(entry.Value()); err != nil {
 		return Faults{{File: path, Section: section, Key: entry.Name(), Value: entry.Value(), Allowed: key.Allowed}}
 	}
