refactor(stream): the timer of a stream's progress is one type

Offer and Reader each had a timer with the same two timeouts, the same flag and the same two methods, since readers got a timeout of their own. Both use progressTimer now.

--- a/core/stream/offer.go
+++ b/core/stream/offer.go
@@ -42,15 +42,14 @@
 	offeredAt time.Time
 	moved     atomic.Int64
 	// reading is set while the source is read.
-	reading atomic.Bool
+	reading  atomic.Bool
+	progress progressTimer
 
+	// mu is locked before the mutex of progress.
 	mu    sync.Mutex
-	timer *time.Timer
-	// awaitsReader is set while the timer runs for the reader of the body.
-	awaitsReader bool
-	taken        bool
-	ended        bool
-	err          error
+	taken bool
+	ended bool
+	err   error
 	// interrupt ends a write to the peer that is in progress.
 	interrupt func()
 }
@@ -76,8 +75,8 @@
 	if of.taken || of.ended {
 		return false
 	}
-	of.taken, of.awaitsReader = true, true
-	of.timer.Reset(of.registry.opts.ReaderTimeout)
+	of.taken = true
+	of.progress.awaitReader()
 	return true
 }
 
@@ -140,7 +139,7 @@
 		return nil, false
 	}
 	of.ended, of.err = true, err
-	of.timer.Stop()
+	of.progress.stop()
 	return of.interrupt, true
 }
 
@@ -149,11 +148,11 @@
 	if err := of.finalError(); err != nil {
 		return 0, err
 	}
-	of.awaitSource()
+	of.progress.awaitSource()
 	count, err := of.readSource(data)
 	if count > 0 {
 		of.moved.Add(int64(count))
-		of.awaitReader()
+		of.progress.awaitReader()
 	}
 	// A peer that has all bytes of a known length may close the connection before the
 	// source has told its end.
@@ -188,26 +187,6 @@
 	return count, err
 }
 
-// awaitSource starts the timer for the source, unless it runs since the last progress.
-func (of *Offer) awaitSource() {
-	of.mu.Lock()
-	defer of.mu.Unlock()
-	if !of.ended && of.awaitsReader {
-		of.awaitsReader = false
-		of.timer.Reset(of.registry.opts.StallTimeout)
-	}
-}
-
-// awaitReader starts the timer for the reader after progress.
-func (of *Offer) awaitReader() {
-	of.mu.Lock()
-	defer of.mu.Unlock()
-	if !of.ended {
-		of.awaitsReader = true
-		of.timer.Reset(of.registry.opts.ReaderTimeout)
-	}
-}
-
 // finalError returns what a Read after the end returns, or nil if the stream is open.
 func (of *Offer) finalError() error {
 	of.mu.Lock()
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -144,9 +144,7 @@
 // Offer registers a body for one fetch.
 func (re *Registry) Offer(body Body) *Offer {
 	of := &Offer{Token: rand.Text(), registry: re, body: body, offeredAt: time.Now()}
-	of.mu.Lock() // The timer must be set before anything else sees the offer.
-	of.timer = time.AfterFunc(re.opts.FetchTimeout, of.expire)
-	of.mu.Unlock()
+	of.progress.start(&re.opts, re.opts.FetchTimeout, of.expire)
 	re.mu.Lock()
 	closed := re.closed
 	if !closed {
--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -147,11 +147,11 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
+	progress progressTimer
+
+	// mu is locked before the mutex of progress.
 	mu    sync.Mutex
-	timer *time.Timer
-	// awaitsReader is set while the timer runs for the caller of Read.
-	awaitsReader bool
-	ended        bool
+	ended bool
 	// release frees the source.
 	release func()
 	// unfollow detaches the Reader from the context that it follows.
@@ -165,9 +165,7 @@
 func (re *Registry) Open(ctx context.Context, address, token string) (*Reader, error) {
 	rd := &Reader{registry: re, openedAt: time.Now()}
 	rd.ctx, rd.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
-	rd.mu.Lock()
-	rd.timer = time.AfterFunc(re.opts.StallTimeout, rd.expire)
-	rd.mu.Unlock()
+	rd.progress.start(&re.opts, re.opts.StallTimeout, rd.expire)
 	re.mu.Lock()
 	closed := re.closed
 	if !closed {
@@ -253,13 +251,13 @@
 	if err := context.Cause(rd.ctx); err != nil {
 		return 0, err
 	}
-	rd.awaitSource()
+	rd.progress.awaitSource()
 	rd.reading.Store(true)
 	count, err := rd.source.Read(data)
 	rd.reading.Store(false)
 	rd.moved.Add(int64(count))
 	if count > 0 {
-		rd.awaitReader()
+		rd.progress.awaitReader()
 	}
 	switch {
 	case errors.Is(err, io.EOF):
@@ -278,26 +276,6 @@
 	return nil
 }
 
-// awaitSource starts the timer for the source, unless it runs since the last progress.
-func (rd *Reader) awaitSource() {
-	rd.mu.Lock()
-	defer rd.mu.Unlock()
-	if !rd.ended && rd.awaitsReader {
-		rd.awaitsReader = false
-		rd.timer.Reset(rd.registry.opts.StallTimeout)
-	}
-}
-
-// awaitReader starts the timer for the caller of Read after progress.
-func (rd *Reader) awaitReader() {
-	rd.mu.Lock()
-	defer rd.mu.Unlock()
-	if !rd.ended {
-		rd.awaitsReader = true
-		rd.timer.Reset(rd.registry.opts.ReaderTimeout)
-	}
-}
-
 func (rd *Reader) expire() {
 	if rd.reading.Load() {
 		rd.abort(ErrSourceStalled)
@@ -318,7 +296,7 @@
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
 	rd.ended = true
-	rd.timer.Stop()
+	rd.progress.stop()
 	if rd.unfollow != nil {
 		rd.unfollow()
 	}
