--- a/cactusctl/internal/cmd/organisations.go
+++ b/cactusctl/internal/cmd/organisations.go
@@ -116,7 +116,7 @@
 	for _, org := range settings.NewResolver(tree).Organisations().All() {
 		row := organisationRow{Name: org.Name, Title: org.Title, Rank: org.Rank, Rate: org.Rate, Burst: org.Burst, Requests: use[org.Name].requests, OverQuota: use[org.Name].overQuota, Digests: []string{}}
 		for _, digest := range org.Digests {
-			row.Digests = append(row.Digests, digest.String()[:digestPrefixLength])
+			row.Digests = append(row.Digests, shortDigest(digest))
 		}
 		list = append(list, row)
 	}
