test(review): case 10 waits for the heartbeats of the present start

Change: the script waits for the first request to the new start and then for its next heartbeat before the late ones arrive.

--- a/review/stand/case_restart.go
+++ b/review/stand/case_restart.go
@@ -41,13 +41,25 @@
 		return false, err
 	}
 	sc.rec.note("%s starts (born %d); it sends a heartbeat each 1.5 s from now on", present.id, present.born)
-	if _, reached := sc.stream(address, "registered", 1600*time.Millisecond, present); reached == 0 {
+	reached := 0
+	for end := time.Now().Add(4 * time.Second); reached == 0 && time.Now().Before(end); {
+		_, reached = sc.stream(address, "registered", 700*time.Millisecond, present)
+	}
+	if reached == 0 {
 		return false, fmt.Errorf("%w: the new start got no request", errInvalid)
 	}
 	if sc.trouble {
-		sc.rec.note("heartbeat 1 of the former start arrives, late by 4.3 s; confirmed: %t", former.beat(1, "ready"))
-		time.Sleep(1100 * time.Millisecond)
-		sc.rec.note("heartbeat 2 of the former start arrives, late by 3.9 s; confirmed: %t", former.beat(2, "ready"))
+		for last := present.sequence.Load(); present.sequence.Load() == last; {
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond) // The heartbeat of the present start has arrived.
+		for sequence := range int64(2) {
+			sentAt := time.UnixMilli(former.born).Add(time.Duration(sequence) * 1500 * time.Millisecond)
+			sc.rec.note("heartbeat %d of the former start arrives, late by %.1f s; confirmed: %t", sequence+1, time.Since(sentAt).Seconds(), former.beat(sequence+1, "ready"))
+			if sequence == 0 {
+				time.Sleep(900 * time.Millisecond)
+			}
+		}
 	}
 	sc.stream(address, "meanwhile", 2*time.Second) // The present start goes on with its heartbeats.
 	present.silent.Store(true)
