--- a/review/stand/case_first.go
+++ b/review/stand/case_first.go
@@ -12,8 +12,8 @@
 // time. It is back after a minute.
 func playFirst(sc *scene) (bool, error) {
 	const (
-		contactWindow = 3 * time.Second // contact_window_ms
-		ackLimit      = 4 * time.Second // ack_ms
+		contactWindow = 3 * time.Second
+		ackLimit      = 4 * time.Second
 		downFor       = 60 * time.Second
 	)
 	sc.fl.losses = 2
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -64,7 +64,7 @@
 	}
 	fl := &fleet{
 		root: root, work: work, rec: rec, losses: 1, mem: map[string]int{"daemon": 284, "keeper": 280},
-		bounds: "seed_lag_s=3,reuse_after_s=2,contact_window_ms=3000,ack_ms=4000,catch_up_s=4,drain_ms=2000,grace_s=6,loss_slack_ms=200,config_apply_ms=2000,rollback_slack_ms=250,max_stretch_ms=5000,retry_budget_ratio=0.2,budget_window_s=10,retry_budget_slack=60,recovery_s=15,probes_per_s=3,floor_share=0.7",
+		bounds: names.Bounds,
 	}
 	for second := 20 + os.Getpid()%200; ; second = 20 + (second+1)%200 {
 		fl.net = fmt.Sprintf("127.%d", second)
@@ -96,12 +96,12 @@
 	pr := &proc{name: fmt.Sprintf("%s-%s-%d", role, zone, number), role: role, ip: ip}
 	pr.folder = filepath.Join(fl.work, pr.name)
 	pr.settings = map[string]string{
-		"node_name": pr.name, "zone": zone, "ip": ip, "internal_port_range": "7600,7615",
+		"node_name": pr.name, "zone": zone, "ip": ip, names.Ports: "7600,7615",
 		"listen.control":  fmt.Sprintf("%s:%d", ip, portControl),
 		"listen.outbound": fmt.Sprintf("%s:%d", ip, portCallers),
 		"listen.ready":    fmt.Sprintf("%s:%d", ip, portReady),
 		"bounds":          fl.bounds, "bootstrap": "true", "limits.memory_mb": fmt.Sprint(fl.mem[role]),
-		"fault_tolerance.machines": fmt.Sprint(fl.losses), "fault_tolerance.zones": "0", "fault_tolerance.regions": "0",
+		names.Tolerance + ".machines": fmt.Sprint(fl.losses), names.Tolerance + ".zones": "0", names.Tolerance + ".regions": "0",
 	}
 	return pr
 }
--- a/review/stand/names.go
+++ b/review/stand/names.go
@@ -31,6 +31,10 @@
 	Keys             string `json:"keys"`
 	Rate             string `json:"rate"`
 	OnceOnly         string `json:"onceOnly"`
+	Tolerance        string `json:"tolerance"`
+	Ports            string `json:"ports"`
+	// Bounds are the bounds of a small deployment, as the settings of a process have them.
+	Bounds string `json:"bounds"`
 }
 
 func mustReadNames() wireNames {
