fix(gate): a reset that a write gets doesn't end a response

Callers got a part of an answer as a complete one: an upstream answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written. Cause: the kernel reports a reset to one system call only. If that was the write of the upload, the read saw the regular end of the connection, which ends a body without a length. Ruled out: a loss between the daemons or to the caller, where such bodies are chunked.

A write now records the loss of its connection, and a read that sees the end of a connection that is closed in both directions waits for the write in progress and returns that loss. EPIPE isn't recorded: it follows a reset after the regular end, so early answers are still served.

--- /dev/null
+++ b/cactusd/daemon/broken_answer_test.go
@@ -0,0 +1,132 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cactusstream.example/core/dialect"
+)
+
+// brokenUpload is the size in bytes of an upload that takes longer than the broken answer to
+// it.
+const brokenUpload = 24 << 20
+
+// exchange is a request on a connection of its own and what the caller reads.
+type exchange struct {
+	status int
+	body   string
+	// err is set unless the answer looks complete.
+	err error
+}
+
+// upload sends a request with a body and reads the answer, also while the body is still
+// being sent.
+func (pa *pair) upload(t *testing.T, version, query, framing string, body io.Reader) exchange {
+	t.Helper()
+	con, err := net.Dial("tcp", pa.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = con.Close() }()
+	_ = con.SetDeadline(time.Now().Add(streamTimeout))
+	go func() {
+		_, _ = fmt.Fprintf(con, "POST /order?%s %s\r\nHost: x\r\n%s\r\n\r\n", query, version, framing)
+		_, _ = io.Copy(con, body)
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(con), nil) //nolint:bodyclose // readAll closes it.
+	if err != nil {
+		return exchange{err: err}
+	}
+	text, err := readAll(resp)
+	return exchange{status: resp.StatusCode, body: text, err: err}
+}
+
+// checkBroken fails the test if an answer looks like one of the upstream.
+func checkBroken(t *testing.T, got exchange) {
+	t.Helper()
+	if got.err == nil && got.status != http.StatusBadGateway {
+		t.Fatalf("the caller got status %d and %d bytes as a complete answer: %.60q", got.status, len(got.body), got.body)
+	}
+	if got.err == nil && strings.HasPrefix(got.body, "notRun") {
+		t.Fatalf("the upstream had got the request: %q", got.body)
+	}
+}
+
+// respondRaw takes the connection of a request, sends the head of a response with the id of
+// the request and what follows, and returns the connection.
+func respondRaw(wr http.ResponseWriter, req *http.Request, statusLine, fields, body string) *net.TCPConn {
+	con, _, err := http.NewResponseController(wr).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = fmt.Fprintf(con, "%s\r\n%s: %s\r\n%s\r\n%s", statusLine, dialect.HeaderAttempt, req.Header.Get(dialect.HeaderAttempt), fields, body)
+	return con.(*net.TCPConn)
+}
+
+// TestAnswerThatIsResetLooksBroken lets an upstream send a part of an answer without a
+// length and reset the connection, early, while the upload is still being written, and late.
+// The caller must get 502 or an answer that breaks off.
+func TestAnswerThatIsResetLooksBroken(t *testing.T) {
+	const rounds = 5
+	parts := map[string]string{"head": "", "short": "part", "held": strings.Repeat("p", 300_000), "streamed": strings.Repeat("p", 3_000_000)}
+	statusLines := map[string]string{"close": "HTTP/1.1 200 OK\r\nConnection: close", "none": "HTTP/1.1 200 OK", "old": "HTTP/1.0 200 OK"}
+	pa := newPairOf(t, largestBody, func(wr http.ResponseWriter, req *http.Request) {
+		if isProbe(wr, req) {
+			return
+		}
+		query := req.URL.Query()
+		if query.Get("moment") == "late" {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		con := respondRaw(wr, req, statusLines[query.Get("framing")], "", parts[query.Get("part")])
+		time.Sleep(5 * time.Millisecond) // The gate waits for the rest.
+		_ = con.SetLinger(0)
+		_ = con.Close()
+	}, allowCloseDelimited)
+	defer pa.stop(t)
+	for framing := range statusLines {
+		for part := range parts {
+			t.Run(framing+"/"+part, func(t *testing.T) {
+				for range rounds {
+					query := fmt.Sprintf("framing=%s&part=%s&moment=", framing, part)
+					checkBroken(t, pa.upload(t, "HTTP/1.1", query+"early", fmt.Sprint("Content-Length: ", brokenUpload), &pattern{size: brokenUpload}))
+					checkBroken(t, pa.upload(t, "HTTP/1.1", query+"late", "Content-Length: 4", strings.NewReader("body")))
+					checkBroken(t, pa.upload(t, "HTTP/1.0", query+"late", "Content-Length: 4", strings.NewReader("body")))
+				}
+			})
+		}
+	}
+}
+
+// TestEarlyAnswerReachesTheCaller lets an upstream end an answer without a length while the
+// upload is still being written.
+func TestEarlyAnswerReachesTheCaller(t *testing.T) {
+	sizes := []int64{0, 5, 300_000, 3_000_000}
+	pa := newPairOf(t, largestBody, func(wr http.ResponseWriter, req *http.Request) {
+		if isProbe(wr, req) {
+			return
+		}
+		var size int64
+		_, _ = fmt.Sscan(req.URL.RawQuery, &size)
+		con := respondRaw(wr, req, "HTTP/1.1 200 OK", "", "")
+		defer func() { _ = con.Close() }()
+		_, _ = io.Copy(con, &pattern{size: size})
+		_ = con.CloseWrite()
+		_, _ = io.Copy(io.Discard, con)
+	}, allowCloseDelimited)
+	defer pa.stop(t)
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			got := pa.upload(t, "HTTP/1.1", fmt.Sprint(size), fmt.Sprint("Content-Length: ", brokenUpload), &pattern{size: brokenUpload})
+			if got.err != nil || got.status != http.StatusOK || digestOf(strings.NewReader(got.body)) != digest(size) {
+				t.Fatalf("status %d, %d bytes: %v", got.status, len(got.body), got.err)
+			}
+		})
+	}
+}
--- a/cactusd/internal/gate/connection.go
+++ b/cactusd/internal/gate/connection.go
@@ -50,6 +50,55 @@
 	// long the connection may stay idle after it.
 	idleSince   time.Time
 	idleTimeout time.Duration
+
+	// writing is held during each write. lossErr is the error of the first write that
+	// found the connection lost.
+	writing sync.Mutex
+	lossErr error
+}
+
+func newConnection(raw net.Conn) *connection {
+	con := &connection{Conn: raw, idleTimeout: defaultKeepAlive}
+	con.head = &headLimit{source: con}
+	con.reader = bufio.NewReaderSize(con.head, readBufferSize)
+	return con
+}
+
+// Write writes to the connection and keeps the error if the connection is lost.
+func (co *connection) Write(data []byte) (int, error) {
+	co.writing.Lock()
+	defer co.writing.Unlock()
+	count, err := co.Conn.Write(data)
+	if co.lossErr == nil && isLoss(err) {
+		co.lossErr = err
+	}
+	return count, err
+}
+
+// isLoss reports whether the error of a write means that the connection is lost. EPIPE
+// alone doesn't: it follows a reset that came after the upstream had ended its direction.
+func isLoss(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
+// Read reads from the connection. It returns io.EOF only if the upstream has ended its
+// direction of the connection.
+//
+// The kernel reports a reset to one system call only. If that is a write, the next read
+// returns no data and no error, as at the regular end. The result of a write in progress is
+// therefore awaited.
+func (co *connection) Read(data []byte) (int, error) {
+	count, err := co.Conn.Read(data)
+	if !errors.Is(err, io.EOF) || !co.endsWrites() {
+		return count, err
+	}
+	co.writing.Lock()
+	defer co.writing.Unlock()
+	if co.lossErr != nil {
+		return count, fmt.Errorf("connection lost during a write: %w", co.lossErr)
+	}
+	return count, err
 }
 
 // connPool holds the idle connections to one upstream.
@@ -144,8 +193,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial upstream: %w", err)
 	}
-	head := &headLimit{source: raw}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head, idleTimeout: defaultKeepAlive}, nil
+	return newConnection(raw), nil
 }
 
 // headLimit limits the bytes that are read while the head of a response is parsed. The
--- a/cactusd/internal/gate/export_test.go
+++ b/cactusd/internal/gate/export_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
@@ -15,8 +14,8 @@
 // that precedes each reuse: the upstream may close a connection just after it.
 func SendOnReused(ctx context.Context, ann Announcement, raw net.Conn, req wire.RunRequest) wire.RunAnswer {
 	up := newUpstreamClient(ann, Options{Dialect: dialect.DefaultUpstream(), Bodies: bodybuffer.New(1 << 20)})
-	head := &headLimit{source: raw}
-	con := &connection{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head, isReused: true, idleSince: time.Now(), idleTimeout: defaultKeepAlive}
+	con := newConnection(raw)
+	con.isReused, con.idleSince = true, time.Now()
 	answer, _ := up.sendOn(ctx, con, req)
 	return answer
 }
--- a/cactusd/internal/gate/unread_linux.go
+++ b/cactusd/internal/gate/unread_linux.go
@@ -20,27 +20,49 @@
 	tcpClose       = 7
 )
 
-// ackedBytes returns how many bytes the upstream's side has acknowledged, and whether the
-// connection was reset. It returns false if that can't be told. Every connection that has
-// served a request has acknowledged bytes; where the counter is 0 the system doesn't keep it.
-func (co *connection) ackedBytes() (acked uint64, isReset, ok bool) {
+// tcpInfo returns what the kernel knows about the connection, or nil if that can't be told.
+func (co *connection) tcpInfo() *unix.TCPInfo {
 	raw, isRaw := co.Conn.(syscall.Conn)
 	if !isRaw {
-		return 0, false, false
+		return nil
 	}
 	sys, err := raw.SyscallConn()
 	if err != nil {
-		return 0, false, false
+		return nil
 	}
+	var info *unix.TCPInfo
 	err = sys.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return
+		if got, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = got
 		}
-		acked, isReset = info.Bytes_acked, info.State == tcpClose
-		ok = acked > 0 && (isReset || info.State == tcpEstablished || info.State == tcpCloseWait)
 	})
-	return acked, isReset, ok && err == nil
+	if err != nil {
+		return nil
+	}
+	return info
+}
+
+// endsWrites reports whether the connection is closed in both directions, so that no write
+// waits for the upstream. Writes end as well if that can't be told.
+func (co *connection) endsWrites() bool {
+	info := co.tcpInfo()
+	if info == nil {
+		_ = co.SetWriteDeadline(time.Unix(1, 0))
+		return true
+	}
+	return info.State == tcpClose
+}
+
+// ackedBytes returns how many bytes the upstream's side has acknowledged, and whether the
+// connection was reset. It returns false if that can't be told. Every connection that has
+// served a request has acknowledged bytes; where the counter is 0 the system doesn't keep it.
+func (co *connection) ackedBytes() (acked uint64, isReset, ok bool) {
+	info := co.tcpInfo()
+	if info == nil {
+		return 0, false, false
+	}
+	acked, isReset = info.Bytes_acked, info.State == tcpClose
+	return acked, isReset, acked > 0 && (isReset || info.State == tcpEstablished || info.State == tcpCloseWait)
 }
 
 // ackedBeforeWrite returns how many bytes were acknowledged before a request is written, or
