fix(gate): a response with an invalid field name is no answer

Callers got answers in whose head the name of a field held a blank. net/http accepts such names, doesn't recognize the field and doesn't write it: after "Transfer-Encoding : chunked" the chunk sizes became part of the body, and after "Content-Length : 5" the body ended with its connection. A blank in front of a name made the field a part of the value before it. Ruled out: control bytes and other characters, which net/http rejects, and blanks in what callers were sent.

The gate now checks the bytes of each head, which it records while net/http parses it; RunAnswer.Checked does the same for what gates of earlier versions and claim holders return. Such an answer may have run, also if it claims the opposite. Folded values stay valid unless they read like a field.

--- a/cactusd/daemon/broken_answer_test.go
+++ b/cactusd/daemon/broken_answer_test.go
@@ -130,3 +130,62 @@
 		})
 	}
 }
+
+// TestBrokenHeadLooksBroken lets an upstream send answers whose head has an invalid status or
+// field name, in several framings, before and after it has read the upload. The caller must
+// get 502. One that claims that the request has not run proves nothing.
+func TestBrokenHeadLooksBroken(t *testing.T) {
+	heads := [][2]string{
+		{"000 Odd", ""},
+		{"000", ""},
+		{"000 Odd", "Cactus-Outcome: notRun\r\nRetry-After: 1\r\n"},
+		{"200 OK", "Content-Length : 5\r\n"},
+		{"200 OK", "Transfer-Encoding : chunked\r\n"},
+		{"200 OK", "X Note: a\r\n"},
+		{"200 OK", "X\tNote: a\r\n"},
+		{"200 OK", "X-\x01Note: a\r\n"},
+		{"200 OK", "X-First: a\r\n X-Note: a\r\n"},
+		{"404 Not Found", "X Note: a\r\n"},
+		{"503 Busy", "Cactus-Outcome : notRun\r\nRetry-After: 1\r\n"},
+		{"503 Busy", "Cactus-Outcome: notRun\r\nX Note: a\r\nRetry-After: 1\r\n"},
+	}
+	framings := [][3]string{
+		{"HTTP/1.1 ", "Content-Length: 5\r\n", "whole"},
+		{"HTTP/1.1 ", "Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n"},
+		{"HTTP/1.1 ", "", "whole"},
+		{"HTTP/1.1 ", "Connection: close\r\n", "whole"},
+		{"HTTP/1.0 ", "", "whole"},
+		{"HTTP/1.1 ", "", strings.Repeat("w", 3_000_000)},
+	}
+	pa := newPairOf(t, largestBody, func(wr http.ResponseWriter, req *http.Request) {
+		if isProbe(wr, req) {
+			return
+		}
+		var number, framing int
+		var moment string
+		_, _ = fmt.Sscanf(req.URL.RawQuery, "%d/%d/%s", &number, &framing, &moment)
+		if moment == "late" {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		head, frame := heads[number], framings[framing]
+		con := respondRaw(wr, req, frame[0]+head[0], head[1]+frame[1], frame[2])
+		_ = con.CloseWrite()
+		_, _ = io.Copy(io.Discard, con)
+		_ = con.Close()
+	}, allowCloseDelimited)
+	defer pa.stop(t)
+	for number, head := range heads {
+		for framing := range framings {
+			for _, moment := range []string{"early", "late"} {
+				t.Run(fmt.Sprintf("%s/%q/%d/%s", head[0], head[1], framing, moment), func(t *testing.T) {
+					size := int64(brokenUpload)
+					if moment == "late" {
+						size = 300_000
+					}
+					got := pa.upload(t, "HTTP/1.1", fmt.Sprintf("%d/%d/%s", number, framing, moment), fmt.Sprint("Content-Length: ", size), &pattern{size: size})
+					checkBroken(t, got)
+				})
+			}
+		}
+	}
+}
--- a/cactusd/internal/gate/connection.go
+++ b/cactusd/internal/gate/connection.go
@@ -29,19 +29,13 @@
 	readBufferSize  = 4 << 10
 	// maxRefused is the number of refusals after which a connection is closed.
 	maxRefused = 64
-	// maxHeadBytes limits the status line and the headers of a response, in bytes.
-	maxHeadBytes = 64 << 10
 )
 
-// errHeadTooLarge reports a response whose status line and headers do not end within
-// maxHeadBytes.
-var errHeadTooLarge = fmt.Errorf("the head of the response is larger than %d bytes", maxHeadBytes)
-
 // connection is a connection to an upstream. It serves one request at a time.
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
-	head   *headLimit
+	head   *headReader
 	// isReused is set once the connection has served a request.
 	isReused bool
 	// refused holds the ids of the requests that were refused on the connection.
@@ -59,7 +53,7 @@
 
 func newConnection(raw net.Conn) *connection {
 	con := &connection{Conn: raw, idleTimeout: defaultKeepAlive}
-	con.head = &headLimit{source: con}
+	con.head = &headReader{source: con}
 	con.reader = bufio.NewReaderSize(con.head, readBufferSize)
 	return con
 }
@@ -196,37 +190,6 @@
 	return newConnection(raw), nil
 }
 
-// headLimit limits the bytes that are read while the head of a response is parsed. The
-// parser of net/http has no limit of its own, and an upstream may send a head without
-// end.
-type headLimit struct {
-	source io.Reader
-	// parsing is set while a head is parsed, and left counts the bytes that it may
-	// still have.
-	parsing bool
-	left    int
-	// isEmpty is set until a byte is read after begin.
-	isEmpty bool
-}
-
-func (he *headLimit) begin() { he.parsing, he.left, he.isEmpty = true, maxHeadBytes, true }
-
-func (he *headLimit) end() { he.parsing = false }
-
-// Read reads from the connection.
-func (he *headLimit) Read(data []byte) (int, error) {
-	if !he.parsing {
-		return he.source.Read(data)
-	}
-	if he.left == 0 {
-		return 0, errHeadTooLarge
-	}
-	count, err := he.source.Read(data[:min(len(data), he.left)])
-	he.left -= count
-	he.isEmpty = he.isEmpty && count == 0
-	return count, err
-}
-
 // isReusable reports whether an idle connection is open and has no unread
 // bytes. Bytes that arrive between two requests belong to neither of them.
 func (co *connection) isReusable() bool {
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -352,11 +352,9 @@
 // since closing it would read the rest, which may have no end.
 func (ex *exchange) readResponse() (received, error) {
 	for range maxResponses {
-		ex.con.head.begin()
-		resp, err := http.ReadResponse(ex.con.reader, ex.hreq)
-		ex.con.head.end()
+		resp, err := ex.readHead()
 		if err != nil {
-			return received{}, fmt.Errorf("read response: %w", err)
+			return received{}, err
 		}
 		if !wire.IsFinalStatus(resp.StatusCode) {
 			if isInterim(resp.StatusCode) {
@@ -401,6 +399,20 @@
 	return received{}, errStaleResponse
 }
 
+// readHead reads the head of a response. The body is still to be read.
+func (ex *exchange) readHead() (*http.Response, error) {
+	ex.con.head.begin(ex.con.reader)
+	resp, err := http.ReadResponse(ex.con.reader, ex.hreq)
+	head := ex.con.head.end(ex.con.reader)
+	if err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
+	if err := checkFieldNames(head); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // isInterim reports whether another response to the same request follows. After 101 the
 // connection would carry another protocol, which no request asks for.
 func isInterim(status int) bool {
--- a/cactusd/internal/ingress/ingress_test.go
+++ b/cactusd/internal/ingress/ingress_test.go
@@ -363,3 +363,23 @@
 		is.Equal(fi.send("POST", "/cut", "0198c5a0-0000-7000-8000-000000000000", "{}").Code, http.StatusBadGateway)
 	}
 }
+
+// TestInvalidFieldNameOfAGateIsNoAnswer lets the gate of a daemon of an earlier version return
+// a response with a field name that holds a blank. The field may have been meant to frame
+// the body.
+func TestInvalidFieldNameOfAGateIsNoAnswer(t *testing.T) {
+	for _, name := range []string{"Content-Length ", "Transfer Encoding", " X-Note", "X\tNote", "X-\x01Note", "X-\x7fNote", ""} {
+		is := is.New(t)
+		broken := func() (wire.RunAnswer, error) {
+			return wire.RunAnswer{Outcome: outcome.Ran, Status: http.StatusOK, Header: wire.Header{name: {"5"}}}, nil
+		}
+		fi := newFixture(t, broken)
+		rec := fi.send("POST", "/cut", "", "{}")
+		is.Equal(rec.Code, http.StatusBadGateway)
+		is.Equal(rec.Header().Get(outcome.HeaderOutcome), string(outcome.Unknown))
+
+		fi = newFixture(t, broken, ran(200))
+		fi.fillRetryBudget(t)
+		is.Equal(fi.send("GET", "/look", "", "").Code, http.StatusOK) // It is retried like a failure.
+	}
+}
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -12,6 +12,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"cactusstream.example/core/health"
 	"cactusstream.example/core/link"
 	"cactusstream.example/core/outcome"
@@ -245,13 +247,31 @@
 	return status >= minFinalStatus && status <= maxFinalStatus
 }
 
-// Checked returns the answer, or one that may have run if the answer has a status that no
-// response of an upstream can have. Daemons of earlier versions pass such responses on.
+// Checked returns the answer, or one that may have run if the answer has a status or a field
+// name that no response of an upstream can have. Daemons of earlier versions pass such
+// responses on.
 func (ru RunAnswer) Checked() RunAnswer {
-	if ru.Outcome != outcome.Ran || IsFinalStatus(ru.Status) {
+	if ru.Outcome != outcome.Ran {
+		return ru
+	}
+	err := ru.checkHead()
+	if err == nil {
 		return ru
 	}
-	checked := Unknown(outcome.UpstreamFailed, fmt.Sprintf("the response of the upstream has the invalid status %d", ru.Status))
+	checked := Unknown(outcome.UpstreamFailed, err.Error())
 	checked.Load, checked.Stats = ru.Load, ru.Stats
 	return checked
 }
+
+// checkHead returns an error if no response can have the status or a field name of the answer.
+func (ru RunAnswer) checkHead() error {
+	if !IsFinalStatus(ru.Status) {
+		return fmt.Errorf("the response of the upstream has the invalid status %d", ru.Status)
+	}
+	for name := range ru.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("the response of the upstream has the invalid field name %q", name)
+		}
+	}
+	return nil
+}
