test(gate): invalid statuses in more framings and moments

It doesn't: TestBrokenHeadIsNoAnswer now sends 000 and other invalid statuses with seven framings, early, late and in pieces, with a header that says that the request has not run, and in front of a response.

--- a/cactusd/internal/gate/broken_head_test.go
+++ b/cactusd/internal/gate/broken_head_test.go
@@ -20,11 +20,12 @@
 	"cactusstream.example/core/outcome"
 )
 
-// brokenHead is an entry of testdata/brokenHeads.json: lines in the head of a response that
-// no response has, and a response that comes before it.
+// brokenHead is an entry of testdata/brokenHeads.json: a status, 200 if it is nil, and lines
+// in the head of a response, and a response that comes before it.
 type brokenHead struct {
 	Name   string   `json:"name"`
 	Before string   `json:"before"`
+	Status *string  `json:"status"`
 	Lines  []string `json:"lines"`
 }
 
@@ -84,9 +85,9 @@
 	})
 }
 
-// TestBrokenHeadIsNoAnswer lets an upstream send responses in whose head a field has no
-// valid name, in several framings and moments. None may be an answer, since the line may
-// have been meant to frame the body, and none proves that the request has not run.
+// TestBrokenHeadIsNoAnswer lets an upstream send responses in whose head the status is invalid
+// or a field has no valid name, in several framings and moments. None may be an answer, since
+// a line may have been meant to frame the body, and none proves that the request has not run.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
 	data, err := os.ReadFile("testdata/brokenHeads.json")
 	if err != nil {
@@ -103,13 +104,17 @@
 					t.Run(fmt.Sprintf("%s/%s/%s/%t", head.Name, framing, moment, isLast), func(t *testing.T) {
 						t.Parallel()
 						is := is.New(t)
+						status := "200 OK"
+						if head.Status != nil {
+							status = *head.Status
+						}
 						lines := strings.Join(append(head.Lines, ""), "\r\n")
 						sg := newStreamGate(t, serveRaw(t, send, func(id string) string {
 							fields := "X-Id: " + id + "\r\n" + lines + frame.field
 							if isLast {
 								fields = "X-Id: " + id + "\r\n" + frame.field + lines
 							}
-							return head.Before + frame.version + " 200 OK\r\n" + fields + "\r\n" + frame.body
+							return head.Before + frame.version + " " + status + "\r\n" + fields + "\r\n" + frame.body
 						}))
 						req := streamRequest("a")
 						uploads["short stream"](sg, &req)
