fix(ingress): an answer that breaks off isn't reset during the upload

Callers with HTTP/1.0 could take a part of an answer for a complete one. An answer without a length ends with their connection, so the daemon resets it if the answer breaks off. Ruled out: answers up to 1 MiB, which are held and have a length, and HTTP/1.1, where they are chunked.

The daemon now reads what the caller still sends, until it pauses for 0.5 s and at most for 30 s, before it resets the connection.

--- a/cactusd/internal/ingress/answerstream.go
+++ b/cactusd/internal/ingress/answerstream.go
@@ -117,6 +117,7 @@
 		"request": req.id, "direction": stream.Answer, "reason": "caller", "length": answer.BodyStream.Length, "bytes": count, "detail": fmt.Sprint(err),
 	})
 	if req.endsWithConnection && answer.BodyStream.Length < 0 {
+		req.body.drain()
 		resetConnection(wr)
 	}
 	panic(http.ErrAbortHandler)
--- a/cactusd/internal/ingress/body.go
+++ b/cactusd/internal/ingress/body.go
@@ -20,6 +20,9 @@
 // and the caller may lose the answer. It also ends a Read that is still in progress.
 const lingerTimeout = 500 * time.Millisecond
 
+// drainTimeout limits the reading of the rest of a body before its connection is reset.
+const drainTimeout = 30 * time.Second
+
 // callerBody is the body of a request that is too large to be held. A gate fetches it from
 // the caller's connection once the request has a slot. A nil callerBody stands for a body
 // that is held.
@@ -27,7 +30,9 @@
 // Lock order: no other lock is taken while callerBody.state is held. callerBody.mu is held
 // during calls of the stream.Registry, and while a body is read into memory.
 type callerBody struct {
-	reader  io.Reader
+	reader io.Reader
+	// source is the body without what reader has in memory.
+	source  io.Reader
 	length  int64
 	bodies  *bodybuffer.Buffer
 	control *http.ResponseController
@@ -89,7 +94,7 @@
 	control := http.NewResponseController(wr)
 	_ = control.EnableFullDuplex() // An answer may begin before the body is read.
 	req.body = &callerBody{
-		reader: &bodyReader{start: held, rest: rest, limit: int64(limit)}, length: length, bodies: in.opts.Bodies, control: control,
+		reader: &bodyReader{start: held, rest: rest, limit: int64(limit)}, source: httpReq.Body, length: length, bodies: in.opts.Bodies, control: control,
 		probe: process.ProbeOf(httpReq.Context()), account: bodybuffer.AccountOf(httpReq.Context()), held: held, aheadSlots: in.aheadSlots,
 	}
 	return nil, nil
@@ -259,6 +264,22 @@
 	return whole
 }
 
+// drain reads the rest of a body that isn't needed, until the caller pauses. A caller that
+// writes when its connection is reset may not see the reset when it reads, but a regular
+// end, which would complete an answer without a length.
+func (ca *callerBody) drain() {
+	if ca == nil || ca.isRead() {
+		return
+	}
+	buf := make([]byte, stream.BufferSize)
+	for end := time.Now().Add(drainTimeout); time.Now().Before(end); {
+		_ = ca.control.SetReadDeadline(time.Now().Add(lingerTimeout))
+		if _, err := ca.source.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
 // close ends the use of the caller's connection. The response must have been written.
 func (ca *callerBody) close() {
 	whole := ca.consume()
