fix(gate): chunks with HTTP/1.0 are no answer

Cause: net/http drops that field with HTTP/1.0, so the body ended with the connection. HTTP/1.0 has no transfer codings, and RFC 9112 (section 6.1) calls the framing faulty.

The check of the head rejects such a response.

--- a/cactusd/internal/gate/broken_head_test.go
+++ b/cactusd/internal/gate/broken_head_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// TestChunksOfHTTP10AreNoAnswer lets an upstream send chunks with HTTP/1.0, which has none.
+// Their sizes must not reach the caller as a part of the body.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
+	for _, fields := range []string{"Transfer-Encoding: chunked\r\n", "transfer-encoding:chunked\r\nConnection: keep-alive\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"} {
+		for moment, send := range moments {
+			t.Run(fields+"/"+moment, func(t *testing.T) {
+				is := is.New(t)
+				sg := newStreamGate(t, serveRaw(t, send, func(id string) string {
+					return "HTTP/1.0 200 OK\r\nX-Id: " + id + "\r\n" + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n"
+				}))
+				req := streamRequest("a")
+				uploads["short stream"](sg, &req)
+				is.Equal(respond(t, sg, req).Outcome, outcome.Unknown)
+			})
+		}
+	}
+}
+
 // TestSoundHeadIsAnAnswer covers heads that are unusual and valid: all characters of names,
 // values with blanks and colons, no values, and folded values.
 func TestSoundHeadIsAnAnswer(t *testing.T) {
--- a/cactusd/internal/gate/responsehead.go
+++ b/cactusd/internal/gate/responsehead.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -20,6 +21,9 @@
 	// errInvalidFieldName reports a response whose head has a line that no field begins
 	// with.
 	errInvalidFieldName = errors.New("the head of the response has an invalid field name")
+	// errFaultyFraming reports a response of a version without transfer codings that names
+	// one.
+	errFaultyFraming = errors.New("the response has a Transfer-Encoding, which its version of HTTP doesn't have")
 )
 
 // headReader limits and records the bytes that are read while the head of a response is
@@ -71,18 +75,30 @@
 	return count, err
 }
 
-// checkFieldNames returns an error if a line of a head, which net/http has parsed, doesn't
-// begin with a field name (RFC 9110, section 5.1). net/http accepts names with blanks. It
-// doesn't recognize such a field, which may be the one that frames the body, and doesn't
-// write it.
-func checkFieldNames(head []byte) error {
+// checkHead returns an error if a head that net/http has parsed is not valid although
+// net/http accepts it.
+//
+// Each line must begin with a field name (RFC 9110, section 5.1). net/http accepts names with
+// blanks. It doesn't recognize such a field, which may be the one that frames the body, and
+// doesn't write it.
+//
+// HTTP/1.0 has no transfer codings (RFC 9112, section 6.1). net/http drops the field there, so
+// that the framing of the chunks would be a part of the body.
+func checkHead(head []byte, resp *http.Response) error {
+	hasCodings := resp.ProtoAtLeast(1, 1)
 	_, fields, _ := bytes.Cut(head, []byte{'\n'}) // Without the status line.
 	for line := range bytes.SplitSeq(fields, []byte{'\n'}) {
 		line = bytes.TrimSuffix(line, []byte{'\r'})
+		if len(line) == 0 || continuesValue(line) {
+			continue
+		}
 		name, _, _ := bytes.Cut(line, []byte{':'})
-		if len(line) > 0 && !httpguts.ValidHeaderFieldName(string(name)) && !continuesValue(line) {
+		if !httpguts.ValidHeaderFieldName(string(name)) {
 			return fmt.Errorf("%w: %q", errInvalidFieldName, name)
 		}
+		if !hasCodings && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return errFaultyFraming
+		}
 	}
 	return nil
 }
--- a/cactusd/internal/gate/upstream.go
+++ b/cactusd/internal/gate/upstream.go
@@ -407,7 +407,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	if err := checkFieldNames(head); err != nil {
+	if err := checkHead(head, resp); err != nil {
 		return nil, err
 	}
 	return resp, nil
