fix(stream): a body without framing isn't fetched

Daemons frame every body, so that callers weren't seen to get such an answer; but the package promises that a body that breaks off never looks complete. Cause: only the status of the response was checked.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -68,6 +68,9 @@
 	// ErrUnknown means that no body is offered under a token, or that it was fetched
 	// before.
 	ErrUnknown = errors.New("stream: no body is offered under this token")
+	// ErrUnframed means that the response to a fetch has neither a length nor chunks, so that
+	// its end can't be told from a truncation. Peers always frame a body.
+	ErrUnframed = errors.New("stream: the body has no framing")
 )
 
 // Direction tells what a body belongs to.
--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -227,6 +227,10 @@
 		_ = resp.Body.Close()
 		return nil, nil, fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		_ = resp.Body.Close()
+		return nil, nil, fmt.Errorf("%w: at %s", ErrUnframed, address)
+	}
 	return resp.Body, func() { _ = resp.Body.Close() }, nil
 }
 
