--- a/cactusd/internal/gate/broken_head_test.go
+++ b/cactusd/internal/gate/broken_head_test.go
@@ -128,6 +128,18 @@
 	}
 }
 
+// TestErrorShowsTheStartOfAnInvalidName lets an upstream send an invalid name of 60,000 bytes.
+func TestErrorShowsTheStartOfAnInvalidName(t *testing.T) {
+	is := is.New(t)
+	sg := newStreamGate(t, serveRaw(t, moments["late"], func(id string) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX " + strings.Repeat("n", 60_000) + ": a\r\nContent-Length: 0\r\n\r\n"
+	}))
+	answer := respond(t, sg, streamRequest("a"))
+	is.Equal(answer.Outcome, outcome.Unknown)
+	is.True(strings.Contains(answer.Detail, `"X nnn`))
+	is.True(len(answer.Detail) < 200)
+}
+
 // TestChunksOfHTTP10AreNoAnswer lets an upstream send chunks with HTTP/1.0, which has none.
 // Their sizes must not reach the caller as a part of the body.
 func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
--- a/cactusd/internal/gate/responsehead.go
+++ b/cactusd/internal/gate/responsehead.go
@@ -9,6 +9,8 @@
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
+
+	"cactusstream.example/cactusd/internal/wire"
 )
 
 // maxHeadBytes limits the status line and the headers of a response, in bytes.
@@ -18,8 +20,8 @@
 	// errHeadTooLarge reports a response whose status line and headers do not end within
 	// maxHeadBytes.
 	errHeadTooLarge = fmt.Errorf("the head of the response is larger than %d bytes", maxHeadBytes)
-	// errInvalidFieldName reports a response whose head has a line that no field begins
-	// with.
+	// errInvalidFieldName reports a response whose head has a line that doesn't begin with a
+	// field name.
 	errInvalidFieldName = errors.New("the head of the response has an invalid field name")
 	// errFaultyFraming reports a response of a version without transfer codings that names
 	// one.
@@ -94,7 +96,7 @@
 		}
 		name, _, _ := bytes.Cut(line, []byte{':'})
 		if !httpguts.ValidHeaderFieldName(string(name)) {
-			return fmt.Errorf("%w: %q", errInvalidFieldName, name)
+			return fmt.Errorf("%w: %.*q", errInvalidFieldName, wire.MaxShownName, name)
 		}
 		if !hasCodings && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 			return errFaultyFraming
--- a/cactusd/internal/wire/wire.go
+++ b/cactusd/internal/wire/wire.go
@@ -242,6 +242,9 @@
 	maxFinalStatus = 599
 )
 
+// MaxShownName is the part of an invalid field name that errors show, in characters.
+const MaxShownName = 64
+
 // IsFinalStatus reports whether a response with the status can be the answer to a request.
 func IsFinalStatus(status int) bool {
 	return status >= minFinalStatus && status <= maxFinalStatus
@@ -270,7 +273,7 @@
 	}
 	for name := range ru.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("the response of the upstream has the invalid field name %q", name)
+			return fmt.Errorf("the response of the upstream has the invalid field name %.*q", MaxShownName, name)
 		}
 	}
 	return nil
