--- a/cactusd/daemon/broken_answer_test.go
+++ b/cactusd/daemon/broken_answer_test.go
@@ -69,6 +69,12 @@
 	return con.(*net.TCPConn)
 }
 
+// resetConnection ends a connection with a reset.
+func resetConnection(con *net.TCPConn) {
+	_ = con.SetLinger(0)
+	_ = con.Close()
+}
+
 // TestAnswerThatIsResetLooksBroken lets an upstream send a part of an answer without a
 // length and reset the connection, early, while the upload is still being written, and late.
 // The caller must get 502 or an answer that breaks off.
@@ -86,19 +92,19 @@
 		}
 		con := respondRaw(wr, req, statusLines[query.Get("framing")], "", parts[query.Get("part")])
 		time.Sleep(5 * time.Millisecond) // The gate waits for the rest.
-		_ = con.SetLinger(0)
-		_ = con.Close()
+		resetConnection(con)
 	}, allowCloseDelimited)
 	defer pa.stop(t)
 	for framing := range statusLines {
 		for part := range parts {
 			t.Run(framing+"/"+part, func(t *testing.T) {
 				for range rounds {
-					query := fmt.Sprintf("framing=%s&part=%s&moment=", framing, part)
-					checkBroken(t, pa.upload(t, "HTTP/1.1", query+"early", fmt.Sprint("Content-Length: ", brokenUpload), &pattern{size: brokenUpload}))
-					checkBroken(t, pa.upload(t, "HTTP/1.1", query+"late", "Content-Length: 4", strings.NewReader("body")))
-					checkBroken(t, pa.upload(t, "HTTP/1.0", query+"late", "Content-Length: 4", strings.NewReader("body")))
-					checkBroken(t, pa.upload(t, "HTTP/1.0", query+"early", fmt.Sprint("Content-Length: ", brokenUpload), &pattern{size: brokenUpload}))
+					for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+						for moment, size := range map[string]int64{"early": brokenUpload, "late": 4} {
+							query := fmt.Sprintf("framing=%s&part=%s&moment=%s", framing, part, moment)
+							checkBroken(t, pa.upload(t, version, query, fmt.Sprint("Content-Length: ", size), &pattern{size: size}))
+						}
+					}
 				}
 			})
 		}
@@ -129,8 +135,7 @@
 		}
 		con := respondRaw(wr, req, "HTTP/1.1 200 OK", "", strings.Repeat("p", 3_000_000))
 		time.Sleep(5 * time.Millisecond)
-		_ = con.SetLinger(0)
-		_ = con.Close()
+		resetConnection(con)
 	}, allowCloseDelimited)
 	defer pa.stop(t)
 	paused := make(chan struct{})
--- a/cactusd/daemon/stream_test.go
+++ b/cactusd/daemon/stream_test.go
@@ -164,7 +164,7 @@
 		case "length":
 			wr.Header().Set("Content-Length", fmt.Sprint(largestBody))
 		case "unframed":
-			con := writeUnframedHead(wr, req)
+			con := respondRaw(wr, req, "HTTP/1.1 200 OK", "", "")
 			_, _ = io.Copy(con, &pattern{size: largestBody})
 			_ = con.Close()
 			return
@@ -188,17 +188,6 @@
 	opts.Upstreams.AllowsCloseDelimited = true
 }
 
-// writeUnframedHead starts an answer that ends with its connection, and returns the
-// connection.
-func writeUnframedHead(wr http.ResponseWriter, req *http.Request) *net.TCPConn {
-	con, _, err := http.NewResponseController(wr).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n", dialect.HeaderAttempt, req.Header.Get(dialect.HeaderAttempt))
-	return con.(*net.TCPConn)
-}
-
 // TestAnswerThatBreaksOff lets an upstream break off its answer at several points. The
 // caller must never see a complete answer, also one that speaks HTTP/1.0, to which an
 // answer without a length ends with the connection.
@@ -214,11 +203,10 @@
 		case "length":
 			wr.Header().Set("Content-Length", fmt.Sprint(size))
 		case "unframed":
-			con := writeUnframedHead(wr, req)
+			con := respondRaw(wr, req, "HTTP/1.1 200 OK", "", "")
 			_, _ = con.Write(body[:sent])
 			time.Sleep(50 * time.Millisecond) // The bytes are read before the reset discards them.
-			_ = con.SetLinger(0)
-			_ = con.Close()
+			resetConnection(con)
 			return
 		}
 		_, _ = wr.Write(body[:sent])
--- a/cactusd/internal/gate/reset_test.go
+++ b/cactusd/internal/gate/reset_test.go
@@ -55,20 +55,6 @@
 	req.Body = nil
 }
 
-// readEnd reads the body of an answer and returns the error that it ends with.
-func (sg *streamGate) readEnd(answer wire.RunAnswer) (string, error) {
-	if answer.BodyStream == nil {
-		return string(answer.Body), nil
-	}
-	rd, err := sg.streams.Open(context.Background(), "here", answer.BodyStream.Token)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = rd.Close() }()
-	body, err := io.ReadAll(rd)
-	return string(body), err
-}
-
 // serveUnread calls respond for each request, after its head was read and while its body is
 // still being written.
 func serveUnread(t *testing.T, respond func(con *net.TCPConn, id string)) string {
--- a/cactusd/internal/gate/stream_test.go
+++ b/cactusd/internal/gate/stream_test.go
@@ -66,19 +66,25 @@
 // read returns the body of an answer.
 func (sg *streamGate) read(t *testing.T, answer wire.RunAnswer) string {
 	t.Helper()
+	body, err := sg.readEnd(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// readEnd returns the body of an answer and the error that it ends with.
+func (sg *streamGate) readEnd(answer wire.RunAnswer) (string, error) {
 	if answer.BodyStream == nil {
-		return string(answer.Body)
+		return string(answer.Body), nil
 	}
 	rd, err := sg.streams.Open(context.Background(), "here", answer.BodyStream.Token)
 	if err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	defer func() { _ = rd.Close() }()
 	body, err := io.ReadAll(rd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(body)
+	return string(body), err
 }
 
 // TestLateLargeResponseIsNotPassedOn lets the upstream send a large response to another
--- a/cactusd/internal/gate/unread_test.go
+++ b/cactusd/internal/gate/unread_test.go
@@ -53,10 +53,10 @@
 		unread        bool
 	}{
 		{"closed before", func(con *net.TCPConn) { _ = con.Close() }, nil, true},
-		{"reset before", func(con *net.TCPConn) { _ = con.SetLinger(0); _ = con.Close() }, nil, true},
+		{"reset before", resetConnection, nil, true},
 		{"only its own direction ended before", func(con *net.TCPConn) { _ = con.CloseWrite() }, read, false},
 		{"closed after it read a byte", nil, func(con *net.TCPConn) { read(con); _ = con.Close() }, false},
-		{"reset after it read a byte", nil, func(con *net.TCPConn) { read(con); _ = con.SetLinger(0); _ = con.Close() }, false},
+		{"reset after it read a byte", nil, func(con *net.TCPConn) { read(con); resetConnection(con) }, false},
 	}
 	for _, tc := range cases {
 		for _, body := range []string{"body", strings.Repeat("x", 200<<10)} {
