fix(settings): organisations without a key admit nobody

Cause: Organisations.RequireKeys asked whether any organisation has a key. With none, the ingress treated the settings as those of a deployment without organisations: no request was judged, and headers were forwarded unchanged. Ruled out: a daemon with old settings.

Change: keys are required while the settings have an organisation, however many keys there are. The same cause elsewhere: a config that lists no organisation, or null, was taken for one without the list; it now sets requireKeys, an optional key of the root. A contract with callers without a header for keys admitted everybody. `where` showed an organisation without a key as admitted.

--- a/cactusd/internal/ingress/organisation.go
+++ b/cactusd/internal/ingress/organisation.go
@@ -45,8 +45,8 @@
 
 // caller is what the credential of a request says about its sender.
 type caller struct {
-	// keysRequired means that the settings in force have organisations with keys. The
-	// other fields are zero without them.
+	// keysRequired means that the settings in force require keys. The other fields are zero
+	// if they don't.
 	keysRequired bool
 	// hasCredential means that the request has a credential header, even an empty one.
 	hasCredential bool
@@ -54,9 +54,10 @@
 	organisation *settings.Organisation
 }
 
-// identify looks up the sender of a request.
+// identify looks up the sender of a request. If the contract with callers has no header for
+// a key, no sender is known.
 func (in *Ingress) identify(organisations *settings.Organisations, sent credential) caller {
-	if in.opts.Dialect.Credential == "" || !organisations.RequireKeys() {
+	if !organisations.RequireKeys() {
 		return caller{}
 	}
 	return caller{keysRequired: true, hasCredential: sent.isSent, organisation: sent.find(organisations)}
--- a/cactusd/internal/ingress/organisation_test.go
+++ b/cactusd/internal/ingress/organisation_test.go
@@ -122,13 +122,12 @@
 	}
 }
 
-// TestWithoutKeysHeadersPass guards against a change for deployments whose settings have
-// no organisation with keys.
-func TestWithoutKeysHeadersPass(t *testing.T) {
+// TestWithoutOrganisationsHeadersPass guards against a change for deployments whose settings
+// have no organisation.
+func TestWithoutOrganisationsHeadersPass(t *testing.T) {
 	is := is.New(t)
 	runner := newCapturingRunner()
-	tree := newPlatformSettings().Apply([]settings.Edit{{Path: "acme", Key: settings.KeyOrganisationRank, Value: "1"}})
-	in := newPlatformIngress(t, &runner.estimatingRunner, newReplica(t, tree), withOrganisationHeaders)
+	in := newPlatformIngress(t, &runner.estimatingRunner, newReplica(t, newPlatformSettings()), withOrganisationHeaders)
 	rec := httptest.NewRecorder()
 	in.ServeHTTP(rec, callerRequest("/look/1", "any", "thing"))
 	is.Equal(rec.Code, 200)
@@ -139,6 +138,50 @@
 	is.Equal(sent.OrganisationRank, 0)
 }
 
+// TestNoKeyLeftServesAnonymousKindsOnly guards against requests of everybody that run, and
+// a key that reaches an upstream, once no organisation has a key or there is no
+// organisation left, and where callers have no header for a key.
+func TestNoKeyLeftServesAnonymousKindsOnly(t *testing.T) {
+	unset := func(path, key string) settings.Edit { return settings.Edit{Path: path, Key: key, Unset: true} }
+	withoutKeys := newOrganisationSettings().Apply([]settings.Edit{unset("acme", settings.KeyKeyDigests), unset("other", settings.KeyKeyDigests)})
+	withoutOrganisations := withoutKeys.Apply([]settings.Edit{
+		unset("acme", settings.KeyTitle), unset("acme", settings.KeyOrganisationRank), unset("acme", settings.KeyQuotaRate),
+		{Path: settings.RootSection, Key: settings.KeyRequireKeys, Value: "true"},
+	})
+	withoutHeader := func(opts *ingress.Options) { opts.Dialect.Credential, opts.Dialect.Organisation = "", "X-Org" }
+	cases := []struct {
+		name    string
+		tree    *settings.Tree
+		headers func(*ingress.Options)
+		// openWithKey is the status of an anonymous kind for a request with a key.
+		openWithKey int
+	}{
+		{"no keys", withoutKeys, withOrganisationHeaders, 401},
+		{"no organisations", withoutOrganisations, withOrganisationHeaders, 401},
+		{"no header", newOrganisationSettings(), withoutHeader, 200},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			runner := newCapturingRunner()
+			in := newPlatformIngress(t, &runner.estimatingRunner, newReplica(t, tc.tree), tc.headers)
+			status := func(path string, keys ...string) int {
+				rec := httptest.NewRecorder()
+				in.ServeHTTP(rec, callerRequest(path, keys...))
+				return rec.Code
+			}
+			for _, keys := range [][]string{nil, {""}, {"acme-key"}, {"other-key"}, {"unknown"}} {
+				is.Equal(status("/look/1", keys...), 401)
+				is.Equal(status("/cut/1", keys...), 401)
+			}
+			is.Equal(len(runner.endpointsSentTo()), 0)
+			is.Equal(status("/open/1", "acme-key"), tc.openWithKey)
+			is.Equal(status("/open/1"), 200)
+			is.Equal(runner.last.Load().Header["X-Org"], nil)
+		})
+	}
+}
+
 // TestUnknownKeyWithOldSettings guards against a caller being told that its key is wrong
 // while the daemon may only not know it yet.
 func TestUnknownKeyWithOldSettings(t *testing.T) {
--- a/cactusd/internal/ingress/where.go
+++ b/cactusd/internal/ingress/where.go
@@ -160,12 +160,8 @@
 		rejection = req.rejectOutlasting()
 	}
 	adm := Admission{Organisation: from.organisation, Rejection: rejection}
-	switch {
-	case query.Organisation == "" || from.organisation != nil:
-	case from.keysRequired:
+	if query.Organisation != "" && from.organisation == nil {
 		adm.Note = "the organisation has no key, so that no request can be known as its own"
-	default:
-		adm.Note = "no organisation has a key, so that requests are admitted without one"
 	}
 	if rejection == nil && in.hasLimit(req) {
 		ctx, cancel := context.WithDeadline(ctx, req.deadline)
--- a/cactusd/internal/ingress/where_organisation_test.go
+++ b/cactusd/internal/ingress/where_organisation_test.go
@@ -162,18 +162,21 @@
 	confirmed.Store(false)
 	is.True(strings.Contains(failure(service, "", unknown), "rejected with 503 noSettings"))
 	confirmed.Store(true)
+	is.True(strings.Contains(failure(newService(newPlatformSettings()), "", unknown), "checks no keys"))
 	without := newService(newPlatformSettings().Apply([]settings.Edit{{Path: "acme", Key: settings.KeyQuotaRate, Value: "1"}}))
-	is.True(strings.Contains(failure(without, "", unknown), "checks no keys"))
+	is.True(strings.Contains(failure(without, "", unknown), "rejected with 401 credentials"))
 	is.Equal(failure(without, "acme", ""), "no error")
 	empty := ingress.NewPlacementService(newPlatformIngress(t, &runner.estimatingRunner, newEmptyReplica(), withOrganisationHeaders))
 	is.True(strings.HasPrefix(failure(empty, "acme", ""), "noSettings: "))
 	_, err := empty.Quotas(context.Background(), &genplacement.QuotasPayload{Organisations: []string{"acme"}})
 	is.True(err != nil)
 
-	// An organisation that has no key can't send requests, although others can.
-	keyless := newService(newOrganisationSettings().Apply([]settings.Edit{{Path: "keyless", Key: settings.KeyQuotaRate, Value: "1"}}))
-	where, err := keyless.Where(context.Background(), &genplacement.WherePayload{Method: "POST", Host: "shop.example", Path: "/look/1", Organisation: "keyless"})
-	is.NoErr(err)
-	is.Equal(strconv.Itoa(where.Admission.Status)+" "+where.Admission.Outcome+" "+where.Admission.Organisation, "401 rejected ")
-	is.True(strings.Contains(where.Admission.Note, "has no key"))
+	// An organisation that has no key can't send requests, whether or not others can.
+	for _, tree := range []*settings.Tree{newOrganisationSettings(), newPlatformSettings()} {
+		keyless := newService(tree.Apply([]settings.Edit{{Path: "keyless", Key: settings.KeyQuotaRate, Value: "1"}}))
+		where, err := keyless.Where(context.Background(), &genplacement.WherePayload{Method: "POST", Host: "shop.example", Path: "/look/1", Organisation: "keyless"})
+		is.NoErr(err)
+		is.Equal(strconv.Itoa(where.Admission.Status)+" "+where.Admission.Outcome+" "+where.Admission.Organisation, "401 rejected ")
+		is.True(strings.Contains(where.Admission.Note, "has no key"))
+	}
 }
--- a/core/settings/key.go
+++ b/core/settings/key.go
@@ -77,6 +77,7 @@
 	quotaKey(KeyQuotaRate, "requests/s", "Limit on the organisation's requests a second, over the whole fleet; 0 means no limit."),
 	intKey("quotes", "endpoints", 0, 16, "0", LevelService, "Endpoints of the own availability zone, and as many of other zones, that are asked for a wait estimate before a request is sent; 0 asks none.", func(po *Policy) *int { return &po.Quotes }),
 	intKey("rank", "rank", 0, RankCount-1, "2", LevelKind, "Rank of the requests; 0 is the most urgent.", func(po *Policy) *int { return &po.Rank }),
+	requireKeysKey(),
 	intKey("retryAttempts", "attempts", 1, 1000, "3", LevelKind, "Maximum number of attempts for one request.", func(po *Policy) *int { return &po.RetryAttempts }),
 	intKey("retryPercent", "percent", 0, 100, "10", LevelService, "Retry budget, as a share of a service's requests.", func(po *Policy) *int { return &po.RetryPercent }),
 	intKey("retrySlack", "attempts a minute", 0, 1_000_000, "0", LevelService, "Retry budget in addition to retryPercent, for the whole fleet.", func(po *Policy) *int { return &po.RetrySlack }),
--- a/core/settings/organisation.go
+++ b/core/settings/organisation.go
@@ -28,6 +28,8 @@
 type Organisations struct {
 	byDigest map[KeyDigest]*Organisation
 	byName   map[string]*Organisation
+	// requireKeys is the value of KeyRequireKeys.
+	requireKeys bool
 	// withPolicy counts, for each firm besides `*`, the nodes that can change a policy:
 	// those below the firm, and its own if that sets more than the organisation.
 	withPolicy map[string]int
@@ -35,7 +37,10 @@
 
 // newOrganisations builds the index of a tree.
 func newOrganisations(tree *Tree) *Organisations {
-	ors := &Organisations{byDigest: make(map[KeyDigest]*Organisation), byName: make(map[string]*Organisation), withPolicy: make(map[string]int)}
+	ors := &Organisations{
+		byDigest: make(map[KeyDigest]*Organisation), byName: make(map[string]*Organisation), withPolicy: make(map[string]int),
+		requireKeys: tree.Nodes[RootSection].requiresKeys(),
+	}
 	for path, node := range tree.Nodes {
 		firm, _, _ := strings.Cut(path, "/")
 		if isIndexedFirm(firm) {
@@ -56,10 +61,16 @@
 			continue
 		}
 		if next == or {
-			next = &Organisations{byDigest: maps.Clone(or.byDigest), byName: maps.Clone(or.byName), withPolicy: maps.Clone(or.withPolicy)}
+			next = or.clone()
 		}
 		next.removeNode(firm, path, from.Nodes[path])
 	}
+	if required := to.Nodes[RootSection].requiresKeys(); required != or.requireKeys {
+		if next == or {
+			next = or.clone()
+		}
+		next.requireKeys = required
+	}
 	if next == or {
 		return or
 	}
@@ -72,6 +83,10 @@
 	return next
 }
 
+func (or *Organisations) clone() *Organisations {
+	return &Organisations{byDigest: maps.Clone(or.byDigest), byName: maps.Clone(or.byName), requireKeys: or.requireKeys, withPolicy: maps.Clone(or.withPolicy)}
+}
+
 // All returns the organisations, sorted by name.
 func (or *Organisations) All() []*Organisation {
 	list := slices.Collect(maps.Values(or.byName))
@@ -108,9 +123,9 @@
 // Len returns the number of organisations.
 func (or *Organisations) Len() int { return len(or.byName) }
 
-// RequireKeys reports whether requests need the key of an organisation: at least one has
-// a key.
-func (or *Organisations) RequireKeys() bool { return len(or.byDigest) > 0 }
+// RequireKeys reports whether requests need the key of an organisation: the settings have
+// organisations, even if none of them has a key, or KeyRequireKeys demands it.
+func (or *Organisations) RequireKeys() bool { return or.requireKeys || len(or.byName) > 0 }
 
 // hasPolicy reports whether the firm can have other policies than every firm.
 func (or *Organisations) hasPolicy(firm string) bool { return or.withPolicy[firm] > 0 }
@@ -161,6 +176,9 @@
 	return false
 }
 
+// requiresKeys reports whether the root demands keys, whatever organisations there are.
+func (no Node) requiresKeys() bool { return no[KeyRequireKeys] == strconv.FormatBool(true) }
+
 // describesOrganisation reports whether a node at the level of a firm describes an
 // organisation.
 func (no Node) describesOrganisation() bool {
--- a/core/settings/organisation_keys.go
+++ b/core/settings/organisation_keys.go
@@ -11,8 +11,9 @@
 	"strings"
 )
 
-// Names of the keys that describe an organisation, and of the key that exempts a kind
-// of request from the check of credentials.
+// Names of the keys that describe an organisation, of the key that exempts a kind of
+// request from the check of credentials, and of the key that demands it where there is no
+// organisation.
 const (
 	KeyAnonymous        = "anonymous"
 	KeyKeyDigests       = "keyDigests"
@@ -20,6 +21,7 @@
 	KeyOrganisationRank = "organisationRank"
 	KeyQuotaBurst       = "quotaBurst"
 	KeyQuotaRate        = "quotaRate"
+	KeyRequireKeys      = "requireKeys"
 	KeyTitle            = "title"
 )
 
@@ -168,6 +170,12 @@
 	})
 }
 
+func requireKeysKey() Key {
+	key := optional(boolKey(KeyRequireKeys, "Whether requests need the key of an organisation although the settings have no organisation. Where they have one, requests need a key in any case.", func(po *Policy) *bool { return &po.RequireKeys }))
+	key.Lowest = LevelRoot
+	return key
+}
+
 func titleKey() Key {
 	allowed := fmt.Sprintf("text of at most %d bytes without control characters", MaxTitleBytes)
 	return organisationKey(KeyTitle, "text", allowed, "", "Name of the organisation that upstreams get; empty means the name of the firm.", func(value string) error {
--- a/core/settings/organisation_test.go
+++ b/core/settings/organisation_test.go
@@ -118,7 +118,7 @@
 	is := is.New(t)
 	tree := &settings.Tree{Nodes: map[string]settings.Node{"*/*/s/k": {"path": "/a", "annotations": "x"}, "*/*/s": {"healthPath": ""}, "acme": {"rank": "1"}}}
 	is.Equal(tree.Digest(), "89559442c9f43f4c1c83052c16f186aa556ce35f8850b488b129ba01ecb0e623") // As computed before organisations existed.
-	for _, key := range []string{settings.KeyAnonymous, settings.KeyKeyDigests, settings.KeyKeys, settings.KeyOrganisationRank, settings.KeyQuotaBurst, settings.KeyQuotaRate, settings.KeyTitle} {
+	for _, key := range []string{settings.KeyAnonymous, settings.KeyKeyDigests, settings.KeyKeys, settings.KeyOrganisationRank, settings.KeyQuotaBurst, settings.KeyQuotaRate, settings.KeyRequireKeys, settings.KeyTitle} {
 		_, set := settings.NewTree().Nodes[settings.RootSection][key]
 		is.True(!set)
 	}
@@ -129,6 +129,49 @@
 	is.True(!res.Policy(settings.Path{Firm: "f", Place: "p", Service: "s", Kind: "k"}).Anonymous)
 }
 
+// TestNoKeyLeftAdmitsNobody guards against settings that admit everybody once the last key
+// of their organisations, or the last organisation, is removed.
+func TestNoKeyLeftAdmitsNobody(t *testing.T) {
+	unset := func(path, key string) settings.Edit { return settings.Edit{Path: path, Key: key, Unset: true} }
+	set := func(path, key, value string) settings.Edit {
+		return settings.Edit{Path: path, Key: key, Value: value}
+	}
+	withoutKeys := []settings.Edit{unset("acme", settings.KeyKeys), unset("acme", settings.KeyKeyDigests), unset("other", settings.KeyKeys), unset("other", settings.KeyKeyDigests)}
+	withoutOrganisations := slices.Concat(withoutKeys, []settings.Edit{unset("other", settings.KeyQuotaRate)})
+	closed := set(settings.RootSection, settings.KeyRequireKeys, "true")
+	cases := []struct {
+		name     string
+		edits    []settings.Edit
+		required bool
+	}{
+		{"keys", nil, true},
+		{"no key", withoutKeys, true},
+		{"empty lists", append(keysOf(t, "acme"), keysOf(t, "other")...), true},
+		{"a title", slices.Concat(withoutOrganisations, []settings.Edit{set("acme", settings.KeyTitle, "Acme")}), true},
+		{"no organisation", withoutOrganisations, false},
+		{"a firm that is no organisation", slices.Concat(withoutOrganisations, []settings.Edit{set("acme", "rank", "1")}), false},
+		{"no organisation, keys required", slices.Concat(withoutOrganisations, []settings.Edit{closed}), true},
+		{"no organisation, keys not required", slices.Concat(withoutOrganisations, []settings.Edit{set(settings.RootSection, settings.KeyRequireKeys, "false")}), false},
+		{"keys, not required", []settings.Edit{set(settings.RootSection, settings.KeyRequireKeys, "false")}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			before := newOrganisationTree(t)
+			tree := before.Apply(tc.edits)
+			is.Equal(tree.Validate(), nil)
+			is.Equal(settings.NewResolver(tree.Public()).Organisations().RequireKeys(), tc.required)
+			paths := map[string]bool{settings.RootSection: true, "acme": true, "other": true}
+			next := settings.NewResolver(before).Next(tree, paths)
+			is.Equal(next.Organisations().RequireKeys(), tc.required)
+			is.Equal(next.Next(before, paths).Organisations().RequireKeys(), true)
+		})
+	}
+	if faults := settings.NewTree().Apply([]settings.Edit{set("acme", settings.KeyRequireKeys, "true")}).Validate(); len(faults) == 0 {
+		t.Error("a firm may set " + settings.KeyRequireKeys)
+	}
+}
+
 func TestOrganisationIsFoundByItsKeysOnly(t *testing.T) {
 	is := is.New(t)
 	organisations := settings.NewResolver(newOrganisationTree(t).Public()).Organisations()
@@ -185,6 +228,9 @@
 			edits = append(edits, settings.Edit{Path: firm + "/p/s", Key: "rank", Value: "1", Unset: rng.IntN(2) == 0})
 		}
 	}
+	if rng.IntN(3) == 0 {
+		edits = append(edits, settings.Edit{Path: settings.RootSection, Key: settings.KeyRequireKeys, Value: fmt.Sprint(rng.IntN(2) == 0), Unset: rng.IntN(2) == 0})
+	}
 	if rng.IntN(2) == 0 {
 		edits = append(edits, settings.Edit{Path: "*/*/s", Key: "rank", Value: fmt.Sprint(rng.IntN(4))})
 	}
--- a/core/settings/policy.go
+++ b/core/settings/policy.go
@@ -41,6 +41,7 @@
 	EjectMax         time.Duration
 	TrialSuccesses   int
 	SlowStart        time.Duration
+	RequireKeys      bool
 	RetryAttempts    int
 	RetryPercent     int
 	RetrySlack       int
