fix(ingress): a key isn't forwarded where no key is required

What upstreams saw: while the settings had no organisation, they got the key and the name of an organisation as callers sent them. After the last organisation is removed, its callers go on to send their keys, and an upstream that trusts the name gets a forged one.

Change: the ingress removes both in any case, as the contract with callers names them. The firm header is still forwarded where no key is required.

TestWithoutOrganisationsHeadersPass demanded that they pass. It is replaced by TestWithoutOrganisationsNothingVouchesForCallers, which fails before the change; the status and the firm are checked as before. The tests of the ingress and of the platform pass.

--- a/cactusd/internal/ingress/ingress.go
+++ b/cactusd/internal/ingress/ingress.go
@@ -457,8 +457,9 @@
 		delete(forward, "Authorization")
 	}
 	if from.keysRequired {
-		in.setOrganisation(forward, req.organisation)
+		delete(forward, outcome.HeaderFirm)
 	}
+	in.setOrganisation(forward, req.organisation)
 	return forward
 }
 
--- a/cactusd/internal/ingress/organisation.go
+++ b/cactusd/internal/ingress/organisation.go
@@ -145,10 +145,10 @@
 }
 
 // setOrganisation replaces what the caller sent about itself by the title of its
-// organisation. The key is for the ingress alone.
+// organisation, also where the settings require no keys: the key is for the ingress alone,
+// and callers may go on to send one after the last organisation was removed.
 func (in *Ingress) setOrganisation(header wire.Header, org *settings.Organisation) {
 	delete(header, http.CanonicalHeaderKey(in.opts.Dialect.Credential))
-	delete(header, outcome.HeaderFirm)
 	if in.opts.Dialect.Organisation == "" {
 		return
 	}
--- a/cactusd/internal/ingress/organisation_test.go
+++ b/cactusd/internal/ingress/organisation_test.go
@@ -122,9 +122,10 @@
 	}
 }
 
-// TestWithoutOrganisationsHeadersPass guards against a change for deployments whose settings
-// have no organisation.
-func TestWithoutOrganisationsHeadersPass(t *testing.T) {
+// TestWithoutOrganisationsNothingVouchesForCallers guards against a change for deployments
+// whose settings have no organisation, which need no key, and against a key, or a name that
+// the caller forged, reaching an upstream after the last organisation was removed.
+func TestWithoutOrganisationsNothingVouchesForCallers(t *testing.T) {
 	is := is.New(t)
 	runner := newCapturingRunner()
 	in := newPlatformIngress(t, &runner.estimatingRunner, newReplica(t, newPlatformSettings()), withOrganisationHeaders)
@@ -132,8 +133,9 @@
 	in.ServeHTTP(rec, callerRequest("/look/1", "any", "thing"))
 	is.Equal(rec.Code, 200)
 	sent := runner.last.Load()
-	is.Equal(sent.Header["X-Key"], []string{"any", "thing"})
-	is.Equal(sent.Header["X-Org"], []string{"forged"})
+	is.Equal(sent.Header["X-Key"], nil)
+	is.Equal(sent.Header["X-Org"], nil)
+	is.Equal(sent.Header[outcome.HeaderFirm], []string{"forged"})
 	is.Equal(sent.Firm, "forged")
 	is.Equal(sent.OrganisationRank, 0)
 }
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -28,8 +28,7 @@
 	Origin        string
 	OriginService string
 	// Credential is the header with the key of the organisation that sends the request,
-	// and Organisation the one that tells upstreams the organisation's title. Both are
-	// forwarded unchanged unless the settings require keys. With keys, Credential is
+	// and Organisation the one that tells upstreams the organisation's title. Credential is
 	// never forwarded, and Organisation is only what the daemon sets.
 	Credential   string
 	Organisation string
