fix(process): the end of a connection doesn't cut the answer before it

Cause: the answer that ends a connection is in the send buffer when net/http closes the socket. With unread data in it, such as a request that was sent behind the first one, the kernel resets the connection and drops what is unsent. Only connections that ended because of pipelining were read on, for 500 ms whether or not their peer had read the answer. Ruled out: the end of the process (it still ran), the grace period (1.4 of 6 s) and the link (both sizes fail, with and without a stream).

Change: guardedConn.Close owns the end of every connection of a server. If the peer may not have all of its answer, the writing side is closed first, and the rest once the peer has acknowledged everything, has closed its side, or has taken nothing for `stall`. Guard.Wait lets a process exit only after that, or at the end of its shutdown. The same cause elsewhere: connections that are kept and end while the last answer is being read (shutdown, a crowd, a refused head); on the platform the daemon closed the servers for announcements and the ready probe, and every daemon the one for streams, without waiting for answers in progress.

TestLingeringEnds bounds peers that never read or never stop sending.

--- a/cactusd/daemon/daemon.go
+++ b/cactusd/daemon/daemon.go
@@ -251,7 +251,8 @@
 
 // Stop shuts down gracefully. The gate rejects new requests, callers are asked
 // to use another daemon, and requests in flight complete. If the context ends
-// first, they are aborted and Stop returns an error.
+// first, they are aborted and Stop returns an error. Slow callers may still read their
+// answers: the process calls the Wait method of the Guard before it exits.
 func (da *Daemon) Stop(ctx context.Context) error {
 	da.stopping.Store(true)
 	da.opts.Log.Write(events.ProcessStopping, nil)
@@ -278,7 +279,7 @@
 		da.streams.Drain(ctx.Done()) // Answers that the gate has read may not be written yet.
 	}
 	da.fleet.Leave()
-	err = errors.Join(err, da.operators.Shutdown(ctx))
+	err = errors.Join(err, process.ShutdownAll(ctx, da.operators, da.peers))
 	da.cancel()
 	if da.streams != nil {
 		da.streams.Close()
--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -55,9 +55,9 @@
 	front, back *daemon.Daemon
 }
 
-func newPair(t testing.TB, upstream http.HandlerFunc, edits ...func(id string, opts *daemon.Options)) *pair {
+func newPair(t testing.TB, upstream http.HandlerFunc) *pair {
 	t.Helper()
-	return newPairOf(t, 8_000_000, upstream, edits...)
+	return newPairOf(t, 8_000_000, upstream)
 }
 
 // newPairOf is like newPair, with a limit for bodies.
@@ -251,3 +251,53 @@
 	}
 	return fmt.Errorf("status %d", resp.StatusCode)
 }
+
+// TestPlannedStopDeliversAnswersWithMoreBehind stops the daemon that takes requests while a
+// slow caller reads a large answer. It has sent more behind its request: that isn't read, so
+// the end of the connection must not be a reset, which would cut the answer.
+func TestPlannedStopDeliversAnswersWithMoreBehind(t *testing.T) {
+	for _, size := range []int{540_000, 2_000_000} {
+		for _, behind := range []string{"", "POST /order?0s HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx", "POST /order"} {
+			t.Run(fmt.Sprintf("%d/%.11s", size, behind), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				pa := newPair(t, answerAfter(size))
+				defer stopDaemon(t, pa.back)
+				con, err := net.Dial("tcp", pa.callers)
+				is.NoErr(err)
+				defer func() { _ = con.Close() }()
+				is.NoErr(con.(*net.TCPConn).SetReadBuffer(64 << 10))
+				stopped := make(chan error, 1)
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+					defer cancel()
+					stopped <- errors.Join(pa.front.Stop(ctx), pa.front.Guard().Wait(ctx))
+				}()
+				time.Sleep(100 * time.Millisecond)
+				_, err = io.WriteString(con, "POST /order?700ms HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+				is.NoErr(err)
+				time.Sleep(200 * time.Millisecond)
+				_, err = io.WriteString(con, behind)
+				is.NoErr(err)
+				_ = con.SetReadDeadline(time.Now().Add(20 * time.Second))
+				resp, err := http.ReadResponse(bufio.NewReader(pacedReader{con}), nil)
+				is.NoErr(err)
+				defer func() { _ = resp.Body.Close() }()
+				count, err := io.Copy(io.Discard, resp.Body)
+				is.NoErr(err)
+				is.Equal([]int64{int64(resp.StatusCode), count}, []int64{http.StatusOK, int64(size)})
+				is.True(resp.Close)
+				is.NoErr(con.Close())
+				is.NoErr(<-stopped)
+			})
+		}
+	}
+}
+
+// pacedReader reads 2 MB/s.
+type pacedReader struct{ from io.Reader }
+
+func (pa pacedReader) Read(data []byte) (int, error) {
+	time.Sleep(4 * time.Millisecond)
+	return pa.from.Read(data[:min(len(data), 8<<10)])
+}
--- a/cactusd/internal/cmd/run.go
+++ b/cactusd/internal/cmd/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 
@@ -60,7 +61,7 @@
 	process.WaitForStop(ctx, func() { log.Write(events.ProcessCut, nil) })
 	stopCtx, cancel := context.WithTimeout(context.Background(), cfg.StopTimeout)
 	defer cancel()
-	if err := da.Stop(stopCtx); err != nil {
+	if err := errors.Join(da.Stop(stopCtx), da.Guard().Wait(stopCtx)); err != nil {
 		log.Write(events.ProcessCut, logrus.Fields{"error": err.Error()})
 		return &process.ExitError{Code: process.ExitForced, Err: err}
 	}
--- a/cactuskeeper/server/server.go
+++ b/cactuskeeper/server/server.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -157,8 +158,8 @@
 }
 
 // Stop leaves the group if necessary, waits for pending changes and open operator
-// requests, then closes all connections. The context of Start must be cancelled
-// afterwards, not before.
+// requests, then closes all connections, and returns once operators have read their
+// answers. The context of Start must be cancelled afterwards, not before.
 func (se *Server) Stop(ctx context.Context) error {
 	se.keeper.Leave(ctx)
 	se.keeper.Stop(ctx)
@@ -173,7 +174,7 @@
 	if se.fleet != nil {
 		se.fleet.Close()
 	}
-	return err
+	return errors.Join(err, se.guard.Wait(ctx))
 }
 
 // Wait returns once the keeper has stopped and closed its log.
--- a/core/process/guard.go
+++ b/core/process/guard.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -48,9 +49,11 @@
 	log     *events.Logger
 	metrics *metrics.Registry
 
-	mu       sync.Mutex
-	conns    map[*guardedConn]struct{}
-	sweeping bool
+	mu    sync.Mutex
+	conns map[*guardedConn]struct{}
+	// lingering holds the closed connections whose peers may still read an answer.
+	lingering map[*guardedConn]struct{}
+	sweeping  bool
 	// closed counts connections by reason since the last log line.
 	closed map[string]int
 }
@@ -67,7 +70,7 @@
 	}
 	return &Guard{
 		limits: lim, budget: bodybuffer.NewBudget(budget, clock.Real{}), log: log, metrics: reg,
-		conns: make(map[*guardedConn]struct{}), closed: make(map[string]int),
+		conns: make(map[*guardedConn]struct{}), lingering: make(map[*guardedConn]struct{}), closed: make(map[string]int),
 	}
 }
 
@@ -75,11 +78,11 @@
 func (gu *Guard) Bodies() *bodybuffer.Buffer { return gu.budget }
 
 // listener returns a listener whose connections have accounts, and use TLS unless cfg is nil.
-// A nil Guard opens no accounts.
-func (gu *Guard) listener(lis net.Listener, cfg *tls.Config) net.Listener {
+// A nil Guard opens no accounts. Once cut is set, connections that are closed don't linger.
+func (gu *Guard) listener(lis net.Listener, cfg *tls.Config, cut *atomic.Bool) net.Listener {
 	switch {
 	case gu != nil:
-		return &guardedListener{Listener: lis, guard: gu, tls: cfg}
+		return &guardedListener{Listener: lis, guard: gu, tls: cfg, cut: cut}
 	case cfg != nil:
 		return tls.NewListener(lis, cfg)
 	}
@@ -90,6 +93,7 @@
 	net.Listener
 	guard *Guard
 	tls   *tls.Config
+	cut   *atomic.Bool
 }
 
 // Accept returns the next connection that the limits admit.
@@ -99,7 +103,7 @@
 		if err != nil {
 			return nil, err //nolint:wrapcheck // net/http looks at the error of the listener.
 		}
-		if guarded := gl.guard.admit(con, gl.tls); guarded != nil {
+		if guarded := gl.guard.admit(con, gl.tls, gl.cut); guarded != nil {
 			return guarded, nil
 		}
 		gl.guard.count("refused." + string(bodybuffer.ReasonConnections))
@@ -110,19 +114,12 @@
 // admit opens the account of a connection. It returns nil if there is none left. What is
 // charged is what net/http gets, behind TLS. The handshake is a part of the first read, and
 // so has to end within the time for a head.
-func (gu *Guard) admit(con net.Conn, cfg *tls.Config) *guardedConn {
-	co := &guardedConn{Conn: con, socket: con, guard: gu}
+func (gu *Guard) admit(con net.Conn, cfg *tls.Config, cut *atomic.Bool) *guardedConn {
+	co := &guardedConn{Conn: con, socket: con, guard: gu, cut: cut}
 	if cfg != nil {
 		co.Conn = tls.Server(con, cfg)
 	}
-	co.account = gu.budget.Open(func(reason bodybuffer.Reason) {
-		gu.count("closed." + string(reason))
-		if co.inHead.Load() {
-			_ = con.Close() // The last answer may still be on its way.
-			return
-		}
-		reset(con)
-	})
+	co.account = gu.budget.Open(co.giveWay)
 	if co.account == nil {
 		return nil
 	}
@@ -145,6 +142,16 @@
 	delete(gu.conns, co)
 }
 
+// release forgets a connection, unless it lingers.
+func (gu *Guard) release(co *guardedConn) {
+	gu.mu.Lock()
+	_, lingers := gu.lingering[co]
+	gu.mu.Unlock()
+	if !lingers {
+		gu.forget(co)
+	}
+}
+
 // count counts a connection that was closed or refused.
 func (gu *Guard) count(reason string) {
 	gu.metrics.Counter("connections." + reason).Inc(1)
@@ -216,7 +223,7 @@
 		co.end()
 	case http.StateHijacked, http.StateClosed:
 		co.released.Store(true)
-		co.guard.forget(co)
+		co.guard.release(co)
 	}
 }
 
@@ -236,7 +243,6 @@
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 		if co, ok := req.Context().Value(connKey{}).(*guardedConn); ok && co.ahead >= maxAhead {
 			co.guard.count("closed.pipelined")
-			co.lingers.Store(true)
 			wr.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(wr, req)
--- a/core/process/guardedconn.go
+++ b/core/process/guardedconn.go
@@ -3,11 +3,10 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"cactusstream.example/core/bodybuffer"
 )
@@ -33,15 +32,12 @@
 	// maxAhead is the number of requests that a peer may send in a row without waiting for
 	// an answer. The answer to the last one ends the connection.
 	maxAhead = 100
-	// lingerTime is how long such a connection is read after its last answer. Closing a
-	// socket with unread data resets the connection, and the peer may lose answers that it
-	// has not read yet.
-	lingerTime = 500 * time.Millisecond
 )
 
 var (
 	errHeadTooLong = errors.New("process: the head of the request has too many lines")
 	errNoMemory    = errors.New("process: no memory for the connection")
+	errRefusedHead = errors.New("process: the head of the request was refused")
 )
 
 // headCounter counts the lines of a head. Bytes after its end don't count.
@@ -85,8 +81,15 @@
 	// peer that waits for answers makes it 1 at most, or a few if its heads are large. Only
 	// the goroutine of net/http that serves the connection uses it.
 	ahead int
-	// lingers is set if the connection ends because of pipelining.
-	lingers atomic.Bool
+	// closing is set by the first call of Close. cut is that of the server.
+	closing atomic.Bool
+	cut     *atomic.Bool
+	// peerEnded is set once a read has found the end of the connection, broken once a write
+	// has failed, refused once a head was refused, and hasWritten with the first write.
+	peerEnded  atomic.Bool
+	broken     atomic.Bool
+	refused    atomic.Bool
+	hasWritten atomic.Bool
 	// written counts the bytes that were written until the send buffer was limited. Writes
 	// don't run concurrently.
 	written int
@@ -97,21 +100,36 @@
 // Read reads from the peer. A read of one byte is the one by which net/http notices that
 // the peer goes away while a request runs, and doesn't wait for the peer.
 func (co *guardedConn) Read(data []byte) (int, error) {
+	if co.closing.Load() {
+		return 0, net.ErrClosed
+	}
 	if len(data) <= 1 || co.released.Load() {
-		return co.Conn.Read(data) //nolint:wrapcheck // net/http looks at the error.
+		return co.readNext(data)
 	}
 	co.account.Await()
-	count, err := co.Conn.Read(data)
+	count, err := co.readNext(data)
 	co.account.Moved(count)
 	if co.inHead.Load() && count < len(data) {
 		co.ahead = 0 // Nothing else was queued in the socket.
 	}
 	if count > 0 && co.inHead.Load() {
 		if refusal := co.chargeHead(data[:count]); refusal != nil {
-			reset(co.socket)
+			co.refused.Store(true)
+			if unsentBytes(co.socket) == 0 {
+				reset(co.socket)
+			}
 			return 0, refusal
 		}
 	}
+	return count, err
+}
+
+// readNext reads from the peer and notes its end.
+func (co *guardedConn) readNext(data []byte) (int, error) {
+	count, err := co.Conn.Read(data)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		co.peerEnded.Store(true)
+	}
 	return count, err //nolint:wrapcheck // net/http looks at the error.
 }
 
@@ -138,6 +156,10 @@
 	if co.released.Load() {
 		return co.Conn.Write(data) //nolint:wrapcheck // net/http looks at the error.
 	}
+	if co.refused.Load() {
+		return 0, errRefusedHead // net/http would answer a request that has not been read.
+	}
+	co.hasWritten.Store(true)
 	if len(data) > smallWrite {
 		held := cap(data) // The answer's array, of which data may be a part.
 		if !co.account.Reserve(held) {
@@ -157,6 +179,9 @@
 		co.writing.Store(false)
 		co.account.Moved(count)
 		written += count
+		if err != nil {
+			co.broken.Store(true)
+		}
 		if err != nil || written == len(data) {
 			return written, err //nolint:wrapcheck // net/http looks at the error.
 		}
@@ -192,20 +217,6 @@
 	co.account.End()
 }
 
-// Close closes the connection. One that ends because of pipelining is read for a while.
-func (co *guardedConn) Close() error {
-	if co.lingers.CompareAndSwap(true, false) && co.CloseWrite() == nil {
-		co.account.Await()
-		_ = co.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.CopyBuffer(io.Discard, onlyReader{co.Conn}, make([]byte, smallWrite))
-	}
-	return co.Conn.Close() //nolint:wrapcheck // net/http looks at the error.
-}
-
-// onlyReader hides the other methods of a connection, so that io.CopyBuffer uses its
-// buffer.
-type onlyReader struct{ io.Reader }
-
 // CloseWrite closes the writing side, which net/http does before it closes a connection
 // whose request has not been read to its end.
 func (co *guardedConn) CloseWrite() error {
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -10,6 +10,7 @@
 //	err = srv.Start()
 //	process.WaitForStop(ctx, onForcedExit)
 //	err = srv.Shutdown(ctx)
+//	err = guard.Wait(ctx) // last, once all servers with this Guard are shut down
 package process
 
 import (
@@ -89,6 +90,7 @@
 	conns    *connTracker
 	guard    *Guard
 	draining atomic.Bool
+	closed   atomic.Bool
 }
 
 // Error returns the text of the wrapped error.
@@ -215,6 +217,7 @@
 
 // Close closes the listener and all connections immediately.
 func (se *Server) Close() {
+	se.closed.Store(true)
 	_ = se.http.Close()
 }
 
@@ -224,7 +227,7 @@
 }
 
 // Shutdown closes the listener, and waits until all requests have been
-// answered or the context ends.
+// answered or the context ends. Peers may still read their answers then; see Guard.Wait.
 func (se *Server) Shutdown(ctx context.Context) error {
 	se.Drain()
 	if se.listener != nil {
@@ -244,6 +247,17 @@
 	return nil
 }
 
+// ShutdownAll shuts several servers down at the same time.
+func ShutdownAll(ctx context.Context, servers ...*Server) error {
+	errs := make([]error, len(servers))
+	var all sync.WaitGroup
+	for i, srv := range servers {
+		all.Go(func() { errs[i] = srv.Shutdown(ctx) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
 // Start opens the listener and serves requests in the background.
 func (se *Server) Start() error {
 	lis, err := net.Listen("tcp", se.address)
@@ -251,7 +265,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	se.listener, _ = lis.(*net.TCPListener)
-	lis = se.guard.listener(lis, se.http.TLSConfig)
+	lis = se.guard.listener(lis, se.http.TLSConfig, &se.closed)
 	se.served = make(chan struct{})
 	go func() {
 		defer close(se.served)
