test(process): servers that are shut down together answer their requests

The pieces in which a lingering connection is read are 8 KiB instead of 16, so that it holds less than the account of its connection counts.

--- a/core/process/linger.go
+++ b/core/process/linger.go
@@ -19,7 +19,7 @@
 	lingerPoll = 50 * time.Millisecond
 	// lingerBuffer is the size of the pieces in which a lingering connection is read, in
 	// bytes, and lingerPause the time between two of them.
-	lingerBuffer = 16 << 10
+	lingerBuffer = 8 << 10
 	lingerPause  = time.Millisecond
 	// lingerFraction is the divisor that gives the part of the connections that may linger
 	// after they had to give way to others.
--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -306,3 +306,32 @@
 	srv.Drain()
 	is.True(endsConnection())
 }
+
+// TestShutdownAllAnswersRequestsOfEachServer guards against an operator or an announcement
+// without an answer because the last servers of a process are closed instead of shut down.
+func TestShutdownAllAnswersRequestsOfEachServer(t *testing.T) {
+	is := is.New(t)
+	began := make(chan struct{}, 2)
+	var servers []*Server
+	answers := make(chan error, 2)
+	for host := range 2 {
+		srv := NewServer(fmt.Sprintf("127.77.0.%d:18080", 205+host), http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+			began <- struct{}{}
+			time.Sleep(300 * time.Millisecond)
+			writeCompleteBody(wr, req)
+		}), nil)
+		is.NoErr(srv.Start())
+		defer srv.Close()
+		servers = append(servers, srv)
+		go func() { answers <- sendRequest(srv.address) }()
+	}
+	for range servers {
+		<-began
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(ShutdownAll(ctx, servers...))
+	for range servers {
+		is.NoErr(<-answers)
+	}
+}
