fix(ingress): `where` rejects like the door where callers can't send a key

With a contract without a header for keys, requests got 401, but the operator who named an organisation was shown its request as admitted. The ingress now knows no sender there for either. TestNoKeyLeftServesAnonymousKindsOnly asks `where` in each of its cases; the one without a header fails before the change. No program has such a contract.

--- a/cactusd/internal/ingress/organisation.go
+++ b/cactusd/internal/ingress/organisation.go
@@ -60,7 +60,11 @@
 	if !organisations.RequireKeys() {
 		return caller{}
 	}
-	return caller{keysRequired: true, hasCredential: sent.isSent, organisation: sent.find(organisations)}
+	from := caller{keysRequired: true, hasCredential: sent.isSent}
+	if in.opts.Dialect.Credential != "" {
+		from.organisation = sent.find(organisations)
+	}
+	return from
 }
 
 // firmOf returns the firm whose settings apply to a request. Where keys are required, it
--- a/cactusd/internal/ingress/organisation_test.go
+++ b/cactusd/internal/ingress/organisation_test.go
@@ -177,6 +177,16 @@
 				is.Equal(status("/cut/1", keys...), 401)
 			}
 			is.Equal(len(runner.endpointsSentTo()), 0)
+			query := whereQuery("/look/1")
+			where, err := in.Where(context.Background(), query)
+			is.NoErr(err)
+			is.Equal(where.Admission.Status, 401)
+			if tc.tree.Nodes["acme"] != nil {
+				query.Organisation = "acme"
+				where, err = in.Where(context.Background(), query)
+				is.NoErr(err)
+				is.Equal(where.Admission.Status, 401)
+			}
 			is.Equal(status("/open/1", "acme-key"), tc.openWithKey)
 			is.Equal(status("/open/1"), 200)
 			is.Equal(runner.last.Load().Header["X-Org"], nil)
