test(daemon): a stop ends in time whatever callers leave unread

Five callers that never read their answers, or never stop sending, and a grace of 3 s: the stop ends within it.

--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -294,6 +294,40 @@
 	}
 }
 
+// TestPlannedStopEndsDespiteUnreadAnswers guards against a stop that outlasts its time
+// because callers never read their answers, or never stop sending.
+func TestPlannedStopEndsDespiteUnreadAnswers(t *testing.T) {
+	for _, sends := range []bool{false, true} {
+		t.Run(fmt.Sprint(sends), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			pa := newPair(t, answerAfter(200_000))
+			defer stopDaemon(t, pa.back)
+			for range 5 {
+				con, err := net.Dial("tcp", pa.callers)
+				is.NoErr(err)
+				defer func() { _ = con.Close() }()
+				is.NoErr(con.(*net.TCPConn).SetReadBuffer(16 << 10))
+				_, err = io.WriteString(con, "POST /order?300ms HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+				is.NoErr(err)
+				if sends {
+					go func() {
+						for block := make([]byte, 32<<10); err == nil; {
+							_, err = con.Write(block)
+						}
+					}()
+				}
+			}
+			const grace = 3 * time.Second
+			started := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), grace)
+			defer cancel()
+			_ = errors.Join(pa.front.Stop(ctx), pa.front.Guard().Wait(ctx)) // Answers that nobody reads may be an error.
+			is.True(time.Since(started) < grace+500*time.Millisecond)
+		})
+	}
+}
+
 // pacedReader reads 2 MB/s.
 type pacedReader struct{ from io.Reader }
 
