fix(process): a silent connection doesn't hold a shutdown

Operators saw: a process whose peer has connected and sends nothing took 5.2 s longer to stop, most of a grace period of 6 s. http.Server.Shutdown waits for the first request of a new connection for up to 5 s. Change: Server.Shutdown, which waits for it for one second already, closes such connections then.

TestSilentConnectionsDoNotHoldAShutdown takes 5.23 s without the change and fails, and 1.01 s with it.

--- a/core/process/conntracker.go
+++ b/core/process/conntracker.go
@@ -68,3 +68,19 @@
 	}
 	return false
 }
+
+// closeSilent closes the connections whose first request has not been read. http.Server
+// would wait for it for up to 5 s.
+func (co *connTracker) closeSilent() {
+	co.mu.Lock()
+	var silent []net.Conn
+	for con, acceptedAt := range co.busy {
+		if !acceptedAt.IsZero() {
+			silent = append(silent, con)
+		}
+	}
+	co.mu.Unlock()
+	for _, con := range silent {
+		_ = con.Close()
+	}
+}
--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -335,3 +335,22 @@
 		is.NoErr(<-answers)
 	}
 }
+
+// TestSilentConnectionsDoNotHoldAShutdown guards against a stop that takes its whole grace
+// period because a peer has connected and sends nothing.
+func TestSilentConnectionsDoNotHoldAShutdown(t *testing.T) {
+	is := is.New(t)
+	srv := NewServer("127.77.0.207:18080", http.HandlerFunc(writeCompleteBody), nil)
+	srv.Guard(NewGuard(Limits{Connections: 100, Stall: time.Second}, events.Discard(), metrics.NewRegistry()), true)
+	is.NoErr(srv.Start())
+	for range 3 {
+		con, err := net.Dial("tcp", srv.address)
+		is.NoErr(err)
+		defer func() { _ = con.Close() }()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	started := time.Now()
+	is.NoErr(srv.Shutdown(ctx))
+	is.True(time.Since(started) < newConnGrace+time.Second)
+}
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -240,6 +240,7 @@
 		// Once its Shutdown has begun, net/http closes a connection without a response
 		// when it has read a request from it.
 		se.conns.waitIdle(ctx)
+		se.conns.closeSilent()
 	}
 	if err := se.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down server on %s: %w", se.address, err)
