fix(settings): daemons learn of an organisation that lists no key

Operators saw no fault for an organisation whose node sets `keys = []` and nothing else. Only keepers hold `keys`, so that daemons followed a tree without this organisation; if it was the only one, they asked nobody for a key. The platform isn't affected: it always sets a rank.

Change: a list of keys needs its digests, also if it is empty. `cactusctl settings set` sets both. TestOrganisationsOfInvalidTreesAreRefused has the case and fails without the change (mutant). Tests of settings, cactusctl, the ingress, the keeper and the platform's formats pass.

--- a/core/settings/organisation.go
+++ b/core/settings/organisation.go
@@ -209,7 +209,8 @@
 func isIndexedFirm(name string) bool { return name != AnyName && name != RootSection }
 
 // validateOrganisations reports organisations that share a key, keys that don't match
-// their digests, and an organisation that would be every firm.
+// their digests, and an organisation that would be every firm. A list without keys needs its
+// digests too: an organisation of which daemons follow nothing would require no keys there.
 func (tr *Tree) validateOrganisations() []string {
 	var faults []string
 	owners := make(map[KeyDigest]string)
@@ -225,7 +226,7 @@
 		digests, _ := ParseKeyDigests(node[KeyKeyDigests]) // The nodes are valid.
 		if text, set := node[KeyKeys]; set {
 			list, _ := ParseKeys(text)
-			if !slices.Equal(digestsOf(list), digests) {
+			if _, hasDigests := node[KeyKeyDigests]; !hasDigests || !slices.Equal(digestsOf(list), digests) {
 				faults = append(faults, fmt.Sprintf("[%s] %s: does not hold the digests of %s", path, KeyKeyDigests, KeyKeys))
 			}
 		}
--- a/core/settings/organisation_keys.go
+++ b/core/settings/organisation_keys.go
@@ -130,7 +130,7 @@
 
 func keyDigestsKey() Key {
 	const allowed = "base64url SHA-256 digests, separated by spaces"
-	return organisationKey(KeyKeyDigests, "digests", allowed, "", "Digests of the organisation's keys, which daemons check requests against. If `keys` is set, it must hold the keys of exactly these digests.", func(value string) error {
+	return organisationKey(KeyKeyDigests, "digests", allowed, "", "Digests of the organisation's keys, which daemons check requests against. If `keys` is set, this must be set as well, and `keys` hold the keys of exactly these digests.", func(value string) error {
 		if _, err := ParseKeyDigests(value); err != nil {
 			return fmt.Errorf("%s: %w; want %s", KeyKeyDigests, err, allowed)
 		}
--- a/core/settings/organisation_test.go
+++ b/core/settings/organisation_test.go
@@ -73,6 +73,7 @@
 	cases := map[string][]settings.Edit{
 		"digest without its key":  {{Path: "acme", Key: settings.KeyKeys, Value: `["hidden"]`}, {Path: "acme", Key: settings.KeyKeyDigests, Value: digest}},
 		"key without a digest":    {{Path: "acme", Key: settings.KeyKeys, Value: `["hidden"]`}},
+		"no key, without digests": {{Path: "acme", Key: settings.KeyKeys, Value: `[]`}},
 		"stale digest":            append(keysOf(t, "acme", "hidden"), settings.Edit{Path: "acme", Key: settings.KeyKeyDigests, Value: settings.NewKeyDigest("hidden").String() + " " + digest}),
 		"shared key":              append(keysOf(t, "acme", "hidden", "x"), keysOf(t, "other", "x")...),
 		"shared digest":           append(keysOf(t, "acme", "x"), settings.Edit{Path: "other", Key: settings.KeyKeyDigests, Value: digest}),
