fix(stream): the transfer of an empty body doesn't fail

The head of an empty body was flushed before its source had ended, so that the peer had all of it, could close its connection, and ended the stream with an error.

--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -104,7 +104,9 @@
 		wr.Header().Set("Content-Length", strconv.FormatInt(of.body.Length, 10))
 	}
 	wr.WriteHeader(http.StatusOK)
-	_ = control.Flush()
+	if of.body.Length != 0 { // The head of an empty body is all of it, and the peer may leave then.
+		_ = control.Flush()
+	}
 	buf := buffers.Get().(*[BufferSize]byte)
 	defer buffers.Put(buf)
 	for {
