refactor(process): one loop that polls, one count of unsent bytes

Cause: Guard.Wait repeated the loop of connTracker.waitIdle, a lingering connection kept the number of unsent bytes twice, and TestPlannedStopDeliversAnswersWithMoreBehind had a slow reader of its own beside that of the package.

Change: waitUntil serves both loops, lingerProgress alone holds the number, and the test uses slowReader at the same pace of 2 MB/s. Behaviour and assertions stay.

--- a/cactusd/daemon/stop_test.go
+++ b/cactusd/daemon/stop_test.go
@@ -280,7 +280,7 @@
 				_, err = io.WriteString(con, behind)
 				is.NoErr(err)
 				_ = con.SetReadDeadline(time.Now().Add(20 * time.Second))
-				resp, err := http.ReadResponse(bufio.NewReader(pacedReader{con}), nil)
+				resp, err := http.ReadResponse(bufio.NewReader(&slowReader{Reader: con, pause: 16 * time.Millisecond}), nil)
 				is.NoErr(err)
 				defer func() { _ = resp.Body.Close() }()
 				count, err := io.Copy(io.Discard, resp.Body)
@@ -327,11 +327,3 @@
 		})
 	}
 }
-
-// pacedReader reads 2 MB/s.
-type pacedReader struct{ from io.Reader }
-
-func (pa pacedReader) Read(data []byte) (int, error) {
-	time.Sleep(4 * time.Millisecond)
-	return pa.from.Read(data[:min(len(data), 8<<10)])
-}
--- a/core/process/conntracker.go
+++ b/core/process/conntracker.go
@@ -49,13 +49,19 @@
 // waitIdle returns when no connection is busy, or when the context ends. It does not wait
 // longer than newConnGrace for the first request on a connection.
 func (co *connTracker) waitIdle(ctx context.Context) {
-	for co.hasBusy(time.Now()) {
+	waitUntil(ctx, func() bool { return !co.hasBusy(time.Now()) })
+}
+
+// waitUntil polls until a condition holds, or the context ends. It reports whether it holds.
+func waitUntil(ctx context.Context, holds func() bool) bool {
+	for !holds() {
 		select {
 		case <-time.After(connPollInterval):
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
+	return true
 }
 
 func (co *connTracker) hasBusy(now time.Time) bool {
--- a/core/process/linger.go
+++ b/core/process/linger.go
@@ -95,8 +95,7 @@
 	if half, ok := co.socket.(interface{ CloseWrite() error }); ok && co.socket != co.Conn {
 		_ = half.CloseWrite() // TLS leaves the socket open.
 	}
-	unsent := unsentBytes(co.socket)
-	progress := &lingerProgress{stall: co.guard.limits.Stall, unsent: unsent, movedAt: time.Now()}
+	progress := &lingerProgress{stall: co.guard.limits.Stall, unsent: unsentBytes(co.socket), movedAt: time.Now()}
 	if progress.stall == 0 {
 		progress.stall = defaultStall
 	}
@@ -109,12 +108,12 @@
 		buf := make([]byte, lingerBuffer)
 		await = func() error { return co.discard(buf) }
 	}
-	for !progress.isOver(time.Now(), co.countUnsent(&unsent)) {
+	for !co.isRead(progress) {
 		if await() != nil {
 			return // The peer has closed its side as well.
 		}
 	}
-	if unsent > 0 {
+	if progress.unsent > 0 {
 		co.guard.count("closed.unread")
 	}
 }
@@ -132,15 +131,14 @@
 	return nil
 }
 
-// countUnsent returns the number of bytes that the peer has not acknowledged, and counts
-// its progress since the last call.
-func (co *guardedConn) countUnsent(last *int) int {
+// isRead reports whether the connection has lingered for long enough, and counts what the
+// peer has acknowledged since the last call as progress.
+func (co *guardedConn) isRead(pr *lingerProgress) bool {
 	unsent := unsentBytes(co.socket)
-	if unsent < *last {
-		co.account.Progress(*last - unsent)
+	if unsent < pr.unsent {
+		co.account.Progress(pr.unsent - unsent)
 	}
-	*last = unsent
-	return unsent
+	return pr.isOver(time.Now(), unsent)
 }
 
 // giveWay closes the connection because others need what it holds.
@@ -172,25 +170,20 @@
 
 // hasRoomToLinger limits the descriptors of connections that linger without an account.
 func (gu *Guard) hasRoomToLinger() bool {
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-	return len(gu.lingering) < max(gu.limits.Connections/lingerFraction, 1)
+	return gu.lingeringCount() < max(gu.limits.Connections/lingerFraction, 1)
 }
 
 // Wait returns once no connection lingers any more. A process that exits earlier may cut
 // answers that are still being read. If the context ends first, it returns an error.
 func (gu *Guard) Wait(ctx context.Context) error {
-	for {
-		gu.mu.Lock()
-		count := len(gu.lingering)
-		gu.mu.Unlock()
-		if count == 0 {
-			return nil
-		}
-		select {
-		case <-time.After(connPollInterval):
-		case <-ctx.Done():
-			return fmt.Errorf("%d peers have not read their answers: %w", count, ctx.Err())
-		}
+	if waitUntil(ctx, func() bool { return gu.lingeringCount() == 0 }) {
+		return nil
 	}
+	return fmt.Errorf("%d peers have not read their answers: %w", gu.lingeringCount(), ctx.Err())
+}
+
+func (gu *Guard) lingeringCount() int {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return len(gu.lingering)
 }
--- a/core/process/linger_test.go
+++ b/core/process/linger_test.go
@@ -112,8 +112,8 @@
 }
 
 // TestAnswerOutlivesItsConnection guards against an answer that is cut by a reset: the peer
-// has sent something behind its request that is not read when the connection ends,
-// whoever ends it.
+// has sent something behind its request that is not read when either side ends the
+// connection.
 func TestAnswerOutlivesItsConnection(t *testing.T) {
 	const request = "GET /wait HTTP/1.1\r\nHost: x\r\n"
 	behind := map[string]string{
