fix(stream): a request that has ended fetches no body

Cause: Open followed its context through context.AfterFunc, which runs on a goroutine of its own also if the context has ended before. If the fetch was quicker than that goroutine, Open took the body for a request that had ended.

Change: Open returns the cause of an ended context before it fetches anything. The ingress already discards the offer of an answer after any error of Open.

Evidence: TestOpenWithEndedContextTakesNothing, over a connection and within a process, failed 5 of 5 runs before, and passes 200 of 200 now, with TestOpenRespectsContext (and 50 of 50 with the race detector). The old test alone failed 0 of 900 runs before the change, 600 of them beside 24 busy loops: it seldom shows the fault.

--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -304,6 +304,23 @@
 	is.True(errors.Is(err, context.Canceled))
 }
 
+// TestOpenWithEndedContextTakesNothing guards against a request that has ended and still takes
+// a body, which nobody can fetch then.
+func TestOpenWithEndedContextTakesNothing(t *testing.T) {
+	is := is.New(t)
+	fi := newFixture(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 50 {
+		of, _ := fi.offer(strings.NewReader("body"), 4)
+		for registry, address := range map[*stream.Registry]string{fi.fetching: fi.address, fi.offering: fi.offering.Address()} {
+			_, err := registry.Open(ctx, address, of.Token)
+			is.True(errors.Is(err, context.Canceled))
+			is.True(!of.IsTaken())
+		}
+	}
+}
+
 // TestCredentials checks that a token alone gives no access to a body.
 func TestCredentials(t *testing.T) {
 	is := is.New(t)
--- a/core/stream/transfer.go
+++ b/core/stream/transfer.go
@@ -163,8 +163,11 @@
 // Open begins to fetch the body that the process at an address offers under a token. The
 // Reader ends with an error if the context ends before the last byte was read, if the source
 // makes no progress within the stall timeout, or if Read isn't called within the reader
-// timeout.
+// timeout. If the context has ended before, the body is not fetched.
 func (re *Registry) Open(ctx context.Context, address, token string) (*Reader, error) {
+	if err := context.Cause(ctx); err != nil {
+		return nil, fmt.Errorf("fetch body: %w", err)
+	}
 	rd := &Reader{registry: re, openedAt: time.Now()}
 	rd.ctx, rd.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	rd.progress.start(&re.opts, re.opts.StallTimeout, rd.expire)
