test(process): the test of stalled peers waits for what it checks

Cause: the test waited until no account was open and read the counter then. All stalled accounts are removed together, before their connections are closed and counted one by one.

Change: it waits for both, and checks both. Limits and times are unchanged.

--- a/core/process/guard_test.go
+++ b/core/process/guard_test.go
@@ -82,14 +82,17 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = wr.Write(make([]byte, 64<<20))
 	})
+	stalled := gu.metrics.Counter("connections.closed.stalled").Count
 	connect(t, address, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")
 	connect(t, address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if count, _ := gu.budget.Accounts(); count == 0 {
+		if count, _ := gu.budget.Accounts(); count == 0 && stalled() == 2 {
 			break
 		}
 	}
-	is.Equal(gu.metrics.Counter("connections.closed.stalled").Count(), int64(2))
+	count, _ := gu.budget.Accounts()
+	is.Equal(count, 0)
+	is.Equal(stalled(), int64(2))
 }
 
 // TestSlowReaderIsServed guards against a limit on the total time of an answer, and against
