fix(link): a response that is arriving keeps its connection open

Callers of a daemon with a slow link would get such errors for requests that have run.

Cause: keepAlive of the caller closes a connection without a pong for 2 s. The peer's pong stands behind the responses that it wrote before, so a connection was closed while they arrived, if they took 3 s.

Change: conn counts the bytes of frames that it reads. While some arrive between a ping and its timeout, the connection stays open. A server sends only responses, so one that gets no calls any more goes quiet, and is closed as before.

TestLargeCallOverSlowConnection shows the same on the way to the peer, where the ping itself waits.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,9 @@
 	// lastFrameAt is when the last frame of the peer was read, as a duration since
 	// started.
 	lastFrameAt atomic.Int64
+	// readBytes counts the bytes of frames that were read, also of those that have not
+	// arrived whole.
+	readBytes atomic.Int64
 	// checking is set while checkSilence runs, and silent once it has found that nothing
 	// arrives from the peer. A silent connection gets no new calls.
 	checking atomic.Bool
@@ -270,8 +274,9 @@
 
 // keepAlive pings the peer and closes the connection when the ping cannot be written
 // or no pong arrives within pingTimeout, so that a connection that is stuck in either
-// direction is detected. Idle connections are pinged only every idlePingInterval, to
-// keep the cost of a daemon's many idle links low.
+// direction is detected. A pong arrives only behind the frames that the peer wrote before,
+// so that the connection stays open while their bytes arrive. Idle connections are pinged
+// only every idlePingInterval, to keep the cost of a daemon's many idle links low.
 func (co *conn) keepAlive(ctx context.Context) {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
@@ -287,10 +292,11 @@
 		}
 		lastPing = time.Now()
 		co.noticeSent.Store(false)
+		readBefore := co.readBytes.Load()
 		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 		err := co.ws.Ping(pingCtx)
 		cancel()
-		if err != nil {
+		if err != nil && co.readBytes.Load() == readBefore {
 			co.close()
 			return
 		}
@@ -331,7 +337,7 @@
 			return
 		}
 		buf.Reset()
-		if _, err := buf.ReadFrom(reader); err != nil {
+		if _, err := buf.ReadFrom(&countingReader{reader: reader, count: &co.readBytes}); err != nil {
 			return
 		}
 		fra, err := co.decodeFrame(buf.Bytes())
@@ -347,6 +353,19 @@
 	}
 }
 
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	reader io.Reader
+	count  *atomic.Int64
+}
+
+// Read reads from the reader and counts what it got.
+func (co *countingReader) Read(data []byte) (int, error) {
+	count, err := co.reader.Read(data)
+	co.count.Add(int64(count))
+	return count, err //nolint:wrapcheck // The caller looks at the error.
+}
+
 // decodeFrame decodes a frame. A frame that can't be decoded ends the connection, since it
 // is not known which call it belongs to.
 func (co *conn) decodeFrame(data []byte) (fra frame, err error) {
--- a/core/link/silence_test.go
+++ b/core/link/silence_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -117,3 +120,43 @@
 	is.NoErr(err)
 	is.NoErr(<-long)
 }
+
+// TestLargeResponseOverSlowConnection guards against a response that is cut off on its way,
+// because the pong that shows that the peer is there arrives only behind it.
+func TestLargeResponseOverSlowConnection(t *testing.T) {
+	t.Parallel()
+	callOverSlowConnection(t, 0, 3<<20)
+}
+
+// TestLargeCallOverSlowConnection guards against a call that is cut off on its way, because
+// the ping that checks whether the peer is there arrives only behind it.
+func TestLargeCallOverSlowConnection(t *testing.T) {
+	t.Parallel()
+	callOverSlowConnection(t, 3<<20, 0)
+}
+
+// callOverSlowConnection makes a call over a connection of 0.8 MB/s at most, with bodies of
+// the given sizes.
+func callOverSlowConnection(t *testing.T, callSize, responseSize int) {
+	t.Helper()
+	is := is.New(t)
+	tokens := newTokens(t)
+	mux := link.NewMux()
+	link.Handle(mux, "large", func(_ context.Context, _ string, req echo) (echo, error) {
+		is.Equal(len(req.Body), callSize)
+		return echo{Body: make([]byte, responseSize)}, nil
+	})
+	server := link.NewServer(mux, tokens, func(*http.Request) {})
+	srv := httptest.NewServer(server)
+	defer srv.Close()
+	defer server.Close()
+	si := newSilencer(t, strings.TrimPrefix(srv.URL, "http://"))
+	si.delay.Store(int64(40 * time.Millisecond))
+	pool := link.NewPool("test", tokens, link.NewMux())
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	resp, err := link.Call[echo, echo](ctx, pool, si.address, "large", echo{Body: make([]byte, callSize)})
+	is.NoErr(err)
+	is.Equal(len(resp.Body), responseSize)
+}
