fix(keeper): a new leader asks operators to retry a change of members

Cause: the keeper reported ErrNotReady as a refusal, which cactusctl takes for a decision and doesn't retry.

Change: ErrNotReady is reported like ErrNotLeader, which cactusctl retries within its timeout.

The test of a stalled disk shares its setup now, with the same checks.

--- a/cactuskeeper/keeper/members.go
+++ b/cactuskeeper/keeper/members.go
@@ -98,8 +98,10 @@
 	return me.ke.node.Remove(now, pay.ID)
 }
 
+// toAPIError returns the error for the operator. Tools retry a NotLeaderError; a new leader is
+// not ready until it has committed an entry.
 func (me *MembersService) toAPIError(ctx context.Context, err error) error {
-	if errors.Is(err, consensus.ErrNotLeader) {
+	if errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, consensus.ErrNotReady) {
 		return &genkeepers.NotLeaderError{Message: err.Error(), Leader: me.ke.leaderAddress(ctx)}
 	}
 	outcome := "notRun"
--- a/cactuskeeper/keeper/stalled_disk_test.go
+++ b/cactuskeeper/keeper/stalled_disk_test.go
@@ -45,40 +45,50 @@
 	return sf.File.Sync()
 }
 
-// TestStalledKeeperSendsDaemonsAway stalls the disk of a keeper while it stores a change.
-// It learns of no change until the sync ends, so a daemon that waits there for newer
-// settings must be told to ask another keeper within a second.
-func TestStalledKeeperSendsDaemonsAway(t *testing.T) {
+// startKeeper runs the only keeper of a group until the end of the test. It has its first
+// settings when startKeeper returns.
+func startKeeper(t *testing.T, disk wal.Disk, mux *link.Mux) *Keeper {
+	t.Helper()
 	is := is.New(t)
-	folder, err := wal.OpenFolder(t.TempDir())
-	is.NoErr(err)
-	disk := &stallingDisk{Folder: folder}
-	_, err = Initialise(disk, "k1", consensus.Config{Members: []consensus.Member{{ID: "k1", Voter: true}}})
+	_, err := Initialise(disk, "k1", consensus.Config{Members: []consensus.Member{{ID: "k1", Voter: true}}})
 	is.NoErr(err)
-	tokens := auth.NewTokens("a-token-for-the-tests")
-	mux := link.NewMux()
 	ctx, cancel := context.WithCancel(context.Background())
 	ke, err := Open(ctx, Options{
 		Clock: clock.Real{}, Consensus: consensus.DefaultOptions(), Disk: disk, Log: events.Discard(), Metrics: metrics.NewRegistry(), Mux: mux,
-		PeerAddress: "127.0.0.1:1", Pool: link.NewPool("k1", tokens, link.NewMux()), SigningKey: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
+		PeerAddress: "127.0.0.1:1", Pool: link.NewPool("k1", auth.NewTokens("a-token-for-the-tests"), link.NewMux()), SigningKey: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
 	})
 	is.NoErr(err)
-	links := link.NewServer(mux, tokens, func(*http.Request) {})
-	srv := httptest.NewServer(links)
-	defer srv.Close()
-	defer links.Close()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		ke.Run(ctx)
 	}()
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		<-done
-	}()
+	})
 	firstCtx, stopWaiting := context.WithTimeout(ctx, 30*time.Second)
 	defer stopWaiting()
 	ke.Replica().Wait(firstCtx, 0)
+	return ke
+}
+
+// TestStalledKeeperSendsDaemonsAway stalls the disk of a keeper while it stores a change.
+// It learns of no change until the sync ends, so a daemon that waits there for newer
+// settings must be told to ask another keeper within a second.
+func TestStalledKeeperSendsDaemonsAway(t *testing.T) {
+	is := is.New(t)
+	folder, err := wal.OpenFolder(t.TempDir())
+	is.NoErr(err)
+	disk := &stallingDisk{Folder: folder}
+	tokens := auth.NewTokens("a-token-for-the-tests")
+	mux := link.NewMux()
+	links := link.NewServer(mux, tokens, func(*http.Request) {})
+	srv := httptest.NewServer(links)
+	defer srv.Close()
+	defer links.Close()
+	ke := startKeeper(t, disk, mux)
+	ctx := context.Background()
 	version := ke.CurrentSettings().Version
 	is.Equal(version, uint64(1))
 
