test(process): the test of queued connections waits for the accepted one

Cause: the test took five queued connections as a sign that the sixth had been accepted. If the sixth had not connected yet, the shutdown refused it, as it has to.

Change: the test sends the first request, waits until its connection is accepted, and then sends the others. Checks and times are unchanged.

--- a/core/process/listener_test.go
+++ b/core/process/listener_test.go
@@ -183,13 +183,16 @@
 // the accept queue must be accepted and answered before the listener is closed.
 func TestShutdownAnswersQueuedConnections(t *testing.T) {
 	is := is.New(t)
-	srv, proceed := newServerThatStopsAccepting(t, "127.77.0.203:18080")
+	srv, accepted, proceed := newServerThatStopsAccepting(t, "127.77.0.203:18080")
 	const clients = 6
 	responses := make(chan error, clients)
-	for range clients {
-		go func() { responses <- sendRequest(srv.address) }()
+	send := func() { responses <- sendRequest(srv.address) }
+	go send()
+	<-accepted // The first connection has been taken from the queue.
+	for range clients - 1 {
+		go send()
 	}
-	waitQueued(t, srv.listener, clients-1) // The first one has been taken from the queue.
+	waitQueued(t, srv.listener, clients-1)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	stopped := make(chan error, 1)
@@ -245,16 +248,19 @@
 }
 
 // newServerThatStopsAccepting starts a server whose accepting goroutine waits with its
-// first connection until the returned function is called.
-func newServerThatStopsAccepting(t *testing.T, address string) (*Server, func()) {
+// first connection until the returned function is called. The channel is closed once it has
+// that connection.
+func newServerThatStopsAccepting(t *testing.T, address string) (*Server, <-chan struct{}, func()) {
 	t.Helper()
 	srv := NewServer(address, http.HandlerFunc(writeCompleteBody), nil)
-	release := make(chan struct{})
+	accepted, release := make(chan struct{}), make(chan struct{})
+	accept := sync.OnceFunc(func() { close(accepted) })
 	proceed := sync.OnceFunc(func() { close(release) })
 	track := srv.http.ConnState
 	srv.http.ConnState = func(con net.Conn, state http.ConnState) {
 		track(con, state)
 		if state == http.StateNew {
+			accept()
 			<-release
 		}
 	}
@@ -265,7 +271,7 @@
 		proceed()
 		srv.Close()
 	})
-	return srv, proceed
+	return srv, accepted, proceed
 }
 
 // waitQueued waits until a number of connections are in the accept queue.
