test(e2e): the test of concurrent operators waits for a leader to pause

Cause: after one second of changes the test pauses the leading keeper. If an election is in progress then, the status names no leader, and the test signaled a process without a name.

Change: it waits for a leader for up to 10 s and pauses that one. What it checks is unchanged.

--- a/standin/internal/e2e/keepers_test.go
+++ b/standin/internal/e2e/keepers_test.go
@@ -237,7 +237,11 @@
 			first := fl.settingsVersion()
 			go func() { done <- runConcurrentOperators(op, 4, first, stop) }()
 			time.Sleep(time.Second)
-			paused := fl.leader()
+			var paused string
+			fl.eventually(10*time.Second, "there is a leader", func() bool {
+				paused = fl.leader()
+				return paused != ""
+			})
 			fl.signal(paused, syscall.SIGSTOP) // Paused until after another leader is elected.
 			time.Sleep(3 * time.Second)
 			fl.signal(paused, syscall.SIGCONT)
